--- /dev/null
+++ b/gateway/src/config.rs
@@ -0,0 +1,413 @@
+//! Configuration: `LB_*` and the JSON file they name, read once into typed settings.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use notchridge::interface::*;
+use tinyjson::JsonValue;
+
+/// Why the gateway can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// A variable is not set.
+    #[error("{0} is not set")]
+    Unset(&'static str),
+    /// A file can't be read.
+    #[error("{path}: {source}")]
+    File {
+        /// Which.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A text is not JSON.
+    #[error("{path} is not JSON: {source}")]
+    Json {
+        /// Which.
+        path: String,
+        /// Why.
+        source: tinyjson::JsonParseError,
+    },
+    /// A value is missing or of the wrong form.
+    #[error("{path}: {wanted} expected")]
+    Value {
+        /// Where it stands.
+        path: String,
+        /// What was expected.
+        wanted: &'static str,
+    },
+    /// The settings make no sense.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+/// A JSON value and where it stands, for messages.
+#[derive(Clone)]
+pub struct Node<'a> {
+    value: Option<&'a JsonValue>,
+    path: String,
+}
+
+impl<'a> Node<'a> {
+    /// The root of a document.
+    pub fn root(value: &'a JsonValue, path: &str) -> Self {
+        Self { value: Some(value), path: path.to_owned() }
+    }
+
+    /// A member; absent ones are nodes without a value.
+    pub fn get(&self, key: &str) -> Node<'a> {
+        let object = self.value.and_then(|v| v.get::<HashMap<String, JsonValue>>());
+        let value = object.and_then(|o| o.get(key)).filter(|v| !matches!(v, JsonValue::Null));
+        Node { value, path: format!("{}.{key}", self.path) }
+    }
+
+    fn wrong(&self, wanted: &'static str) -> ConfigError {
+        ConfigError::Value { path: self.path.clone(), wanted }
+    }
+
+    /// A number, or the default where it is absent.
+    pub fn number_or(&self, default: f64) -> Result<f64, ConfigError> {
+        match self.value {
+            None => Ok(default),
+            Some(v) => v.get::<f64>().copied().ok_or_else(|| self.wrong("a number")),
+        }
+    }
+
+    /// A number that must be there.
+    pub fn number(&self) -> Result<f64, ConfigError> {
+        self.value.and_then(|v| v.get::<f64>()).copied().ok_or_else(|| self.wrong("a number"))
+    }
+
+    /// A text that must be there.
+    pub fn text(&self) -> Result<String, ConfigError> {
+        self.value.and_then(|v| v.get::<String>()).cloned().ok_or_else(|| self.wrong("a text"))
+    }
+
+    /// A text, empty where it is absent.
+    pub fn text_or_empty(&self) -> Result<String, ConfigError> {
+        if self.value.is_none() { Ok(String::new()) } else { self.text() }
+    }
+
+    /// A flag, false where it is absent.
+    pub fn flag(&self) -> Result<bool, ConfigError> {
+        match self.value {
+            None => Ok(false),
+            Some(v) => v.get::<bool>().copied().ok_or_else(|| self.wrong("true or false")),
+        }
+    }
+
+    /// The elements of an array; none where it is absent.
+    pub fn items(&self) -> Result<Vec<Node<'a>>, ConfigError> {
+        let Some(value) = self.value else { return Ok(Vec::new()) };
+        let list = value.get::<Vec<JsonValue>>().ok_or_else(|| self.wrong("an array"))?;
+        let node = |(i, v)| Node { value: Some(v), path: format!("{}[{i}]", self.path) };
+        Ok(list.iter().enumerate().map(node).collect())
+    }
+
+    /// The members of an object, by name; none where it is absent.
+    pub fn members(&self) -> Result<Vec<(String, Node<'a>)>, ConfigError> {
+        let Some(value) = self.value else { return Ok(Vec::new()) };
+        let object = value.get::<HashMap<String, JsonValue>>().ok_or_else(|| self.wrong("an object"))?;
+        let mut names: Vec<_> = object.keys().cloned().collect();
+        names.sort();
+        Ok(names.into_iter().map(|n| (n.clone(), self.get(&n))).collect())
+    }
+
+    /// A socket address.
+    pub fn address(&self) -> Result<SocketAddr, ConfigError> {
+        self.text()?.parse().map_err(|_| self.wrong("an address with a port"))
+    }
+
+    fn texts(&self) -> Result<Vec<String>, ConfigError> {
+        self.items()?.iter().map(Node::text).collect()
+    }
+
+    /// Whether there is a value.
+    pub fn is_there(&self) -> bool {
+        self.value.is_some()
+    }
+}
+
+/// What is named in the settings, each list in the order of the numbers that the module uses.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Classes.
+    pub classes: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// What the report fields x0 and x1 stand for.
+    pub report_extras: [String; 2],
+}
+
+impl Names {
+    /// The number of a name in a list; unknown names are added, as kinds and zones may be.
+    pub fn number(list: &mut Vec<String>, name: &str) -> usize {
+        list.iter().position(|n| n == name).unwrap_or_else(|| {
+            list.push(name.to_owned());
+            list.len() - 1
+        })
+    }
+}
+
+/// One engine of a list event.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its name, by which it goes.
+    pub name: String,
+    /// Where it listens now.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u64,
+    /// Its state.
+    pub state: EngineState,
+    /// Unix milliseconds of a late start; 0: long ago.
+    pub since_ms: u64,
+}
+
+/// One event of the coordinator.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListEvent {
+    /// Its number.
+    pub index: u64,
+    /// Whether it holds the whole list.
+    pub full: bool,
+    /// Its entries.
+    pub entries: Vec<Listed>,
+}
+
+/// Reads one event, `{"index":N,"endpoints":{"snapshot":..,"endpoints":[..]}}`.
+pub fn list_event(node: &Node<'_>) -> Result<ListEvent, ConfigError> {
+    let body = node.get("endpoints");
+    let entries = body.get("endpoints").items()?.iter().map(listed).collect::<Result<_, _>>()?;
+    Ok(ListEvent { index: node.get("index").number()? as u64, full: body.get("snapshot").flag()?, entries })
+}
+
+/// Reads an event from its text.
+pub fn list_event_text(text: &str) -> Result<ListEvent, ConfigError> {
+    let json: JsonValue =
+        text.parse().map_err(|source| ConfigError::Json { path: "event".to_owned(), source })?;
+    list_event(&Node::root(&json, "event"))
+}
+
+fn listed(node: &Node<'_>) -> Result<Listed, ConfigError> {
+    let state = match node.get("status").text()?.as_str() {
+        "Ready" => EngineState::Ready,
+        "Terminating" => EngineState::Draining,
+        "Gone" => EngineState::Gone,
+        _ => return Err(node.get("status").wrong("Ready, Terminating or Gone")),
+    };
+    let address = node.get("address");
+    // One that has gone needs none.
+    let address = if state == EngineState::Gone && !address.is_there() {
+        SocketAddr::from(([127, 0, 0, 1], 0))
+    } else {
+        address.address()?
+    };
+    Ok(Listed {
+        name: node.get("name").text()?,
+        address,
+        zone: node.get("zone").text_or_empty()?,
+        kind: node.get("type").text_or_empty()?,
+        cell: node.get("group").number_or(0.0)? as u64,
+        state,
+        since_ms: node.get("since_ms").number_or(0.0)? as u64,
+    })
+}
+
+/// All that the gateway is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Seed for random numbers.
+    pub seed: u64,
+    /// Descriptors it may hold.
+    pub sockets: usize,
+    /// The coordinator, if there is one.
+    pub coordinator: Option<SocketAddr>,
+    /// Events of the list so far, and the number of the last.
+    pub known: (u64, Vec<ListEvent>),
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names in the settings.
+    pub names: Names,
+    /// Idle time after which an engine closes a connection, in microseconds.
+    pub keepalive_us: u64,
+    /// Time within which a connection must come up, in microseconds.
+    pub connect_us: u64,
+    /// Open requests permitted.
+    pub max_open: usize,
+}
+
+/// Reads a JSON file.
+pub fn json_file(path: &str) -> Result<JsonValue, ConfigError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| ConfigError::File { path: path.to_owned(), source })?;
+    text.parse().map_err(|source| ConfigError::Json { path: path.to_owned(), source })
+}
+
+/// Reads the configuration that the environment names.
+pub fn from_environment() -> Result<Config, ConfigError> {
+    let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset("LB_CONFIG"))?;
+    let mut config = read(&Node::root(&json_file(&path)?, "config"))?;
+    if let Ok(name) = std::env::var("LB_NAME") {
+        config.name = name;
+    }
+    if let Ok(listen) = std::env::var("LB_LISTEN") {
+        let wanted = "an address with a port";
+        config.listen =
+            listen.parse().map_err(|_| ConfigError::Value { path: "LB_LISTEN".to_owned(), wanted })?;
+    }
+    Ok(config)
+}
+
+/// Reads a configuration.
+pub fn read(root: &Node<'_>) -> Result<Config, ConfigError> {
+    let env = root.get("settings");
+    let (settings, names) = settings(&env)?;
+    settings.check()?;
+    let seed = root.get("seed").text()?;
+    let allowed = env.get("allowed");
+    let known = root.get("known");
+    let coordinator = root.get("coordinator");
+    Ok(Config {
+        name: root.get("name").text_or_empty()?,
+        listen: root.get("listen").address()?,
+        seed: u64::from_str_radix(&seed, 16).map_err(|_| root.get("seed").wrong("16 hex digits"))?,
+        sockets: root.get("limits").get("sockets").number_or(1024.0)? as usize,
+        coordinator: if coordinator.is_there() { Some(coordinator.address()?) } else { None },
+        known: (
+            known.get("index").number_or(0.0)? as u64,
+            known.get("updates").items()?.iter().map(list_event).collect::<Result<_, _>>()?,
+        ),
+        settings,
+        names,
+        keepalive_us: (allowed.get("keepalive-s").number_or(15.0)? * 1e6) as u64,
+        connect_us: (allowed.get("connect-timeout-s").number_or(0.25)? * 1e6) as u64,
+        max_open: allowed.get("max-open").number_or(20_000.0)? as usize,
+    })
+}
+
+fn settings(env: &Node<'_>) -> Result<(Settings, Names), ConfigError> {
+    let (allowed, rules, domain) = (env.get("allowed"), env.get("rules"), env.get("domain"));
+    let mut names = Names {
+        kinds: env.get("kinds").texts()?,
+        zones: env.get("zones").texts()?,
+        report_extras: [domain.get("report-x0").text_or_empty()?, domain.get("report-x1").text_or_empty()?],
+        ..Names::default()
+    };
+    let mut classes = Vec::new();
+    for (i, node) in env.get("classes").items()?.iter().enumerate() {
+        names.classes.push(node.get("name").text()?);
+        classes.push(class(node, i, &domain, &mut names)?);
+    }
+    let mut tenants = Vec::new();
+    for node in env.get("projects").items()? {
+        names.tenants.push(node.get("name").text()?);
+        tenants.push(Tenant { quota: node.get("quota-per-s").number_or(0.0)? });
+    }
+    let (cores, memory) = (domain.get("kind-cores").items()?, domain.get("memory-by-kind-mb").items()?);
+    let figure = |list: &[Node<'_>], i: usize, default| list.get(i).map_or(Ok(default), Node::number);
+    let kinds = (0..names.kinds.len())
+        .map(|i| Ok(Kind { cores: figure(&cores, i, 1.0)?, memory_mb: figure(&memory, i, 0.0)? }))
+        .collect::<Result<_, ConfigError>>()?;
+    let zone = env.get("locality").text_or_empty()?;
+    let extra = rules.get("look-back-s");
+    let settings = Settings {
+        gateways: env.get("balancers").number_or(1.0)? as u32,
+        zone: (!zone.is_empty()).then(|| ZoneId(Names::number(&mut names.zones, &zone))),
+        classes,
+        kinds,
+        tenants,
+        over_share_worth: env.get("over-share-worth").number_or(1.0)?,
+        rules: Rules {
+            answer_slack: rules.get("answer-slack-s").number_or(0.0)?,
+            drain_grace: rules.get("drain-grace-s").number_or(0.0)?,
+            cold_share: rules.get("cold-share").number_or(0.0)?,
+            warm_up: rules.get("warm-up-s").number_or(0.0)?,
+            fall_multiple: rules.get("fall-multiple").number_or(0.0)?,
+            overload_for: rules.get("overload-for-s").number_or(0.0)?,
+            order_pause: rules.get("order-pause-s").number_or(0.0)?,
+            extra: if extra.is_there() {
+                Some(ExtraBudget {
+                    floor: rules.get("extra-floor").number_or(0.0)?,
+                    ratio: rules.get("extra-ratio").number_or(0.0)?,
+                    look_back: extra.number()?,
+                })
+            } else {
+                None
+            },
+        },
+        allowed: Allowed {
+            cancel: allowed.get("cancelling").flag()?,
+            // Engines of this protocol have no call to probe them with.
+            probe: false,
+            reports: match env.get("report").get("how").text_or_empty()?.as_str() {
+                "none" | "probe" => Reports::None,
+                _ => Reports::Answers,
+            },
+            ask_for_list: false,
+            retry_after: allowed.get("retry-after").flag()?,
+            max_retry_after: allowed.get("max-retry-after-s").number_or(0.0)?,
+            max_attempts: allowed.get("max-attempts").number_or(0.0)? as u32,
+            grants: domain.get("grants-count").flag()?,
+            priorities: domain.get("takes-priority").flag()?,
+            note_period: domain.get("note-period-s").number_or(0.0)?,
+        },
+        when_short: match domain.get("when-short").text_or_empty()?.as_str() {
+            "shrink" => WhenShort::Shrink,
+            "page" => WhenShort::Page,
+            _ => WhenShort::Wait,
+        },
+        resolution: env.get("resolution-s").number_or(0.0)?,
+    };
+    Ok((settings, names))
+}
+
+fn class(c: &Node<'_>, i: usize, domain: &Node<'_>, names: &mut Names) -> Result<Class, ConfigError> {
+    let flag = |list: &str| -> Result<bool, ConfigError> {
+        domain.get(list).items()?.get(i).map_or(Ok(false), Node::flag)
+    };
+    let effect = match c.get("repeat").text_or_empty()?.as_str() {
+        "pure" => Effect::Safe,
+        "token" => Effect::Keyed {
+            group: match c.get("group").text_or_empty()?.as_str() {
+                "all" => RepeatGroup::All,
+                "zone" => RepeatGroup::Zone,
+                _ => RepeatGroup::Cell,
+            },
+            window: c.get("window-s").number_or(0.0)?,
+        },
+        _ => Effect::Unsafe,
+    };
+    let (kinds, zones) = (c.get("allowed-on"), c.get("confined-to"));
+    let only_kinds: Vec<_> =
+        kinds.texts()?.iter().map(|k| KindId(Names::number(&mut names.kinds, k))).collect();
+    let only_zones: Vec<_> =
+        zones.texts()?.iter().map(|z| ZoneId(Names::number(&mut names.zones, z))).collect();
+    Ok(Class {
+        aim: c.get("aim-s").number()?,
+        aim_stretch: c.get("aim-stretch").number_or(0.0)?,
+        deadline: c.get("deadline-s").number()?,
+        worth: c.get("worth").number_or(1.0)?,
+        late_value: c.get("late-value").number_or(0.0)?,
+        effect,
+        keep_order: c.get("keep-order").flag()?,
+        only_kinds: kinds.is_there().then_some(only_kinds),
+        only_zones: zones.is_there().then_some(only_zones),
+        threads: domain.get("parallelism").items()?.get(i).map_or(Ok(1.0), Node::number)? as u32,
+        load: flag("holds-tables")?,
+        yields: flag("yields-to-loads")?,
+        streaming: c.get("streaming").flag()?,
+    })
+}
--- /dev/null
+++ b/gateway/src/core.rs
@@ -0,0 +1,372 @@
+//! The core: requests, attempts, timers, deadlines and the one final answer of each request.
+//!
+//! It drives the decision module and turns the module's actions into [`Command`]s. It knows no wire: no
+//! bytes, no sockets, no protocol. Time is whole microseconds, handed in once a turn.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use notchridge::Gateway;
+use notchridge::interface::*;
+
+/// How long before a client's own limit the core answers at the latest, in microseconds: what the answer
+/// needs on its way, and what the request needed on its way here, which no clock of ours has seen.
+const MARGIN_US: u64 = 25_000;
+
+/// A request as a front hands it over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: Option<TenantId>,
+    /// When the client stops waiting, in microseconds of the core's clock.
+    pub deadline_us: u64,
+    /// Estimated work, in seconds on one core.
+    pub estimate: Option<f64>,
+    /// Estimated memory in MB.
+    pub need_mb: Option<f64>,
+    /// The group of tables it reads.
+    pub group: Option<GroupId>,
+}
+
+/// What has happened outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// News of the list of engines; start times are on the core's clock in seconds.
+    List(ListMode, Vec<EngineEntry>),
+    /// A request was taken.
+    Asked(RequestId, Ask),
+    /// An attempt has ended.
+    Ended(RequestId, u32, Outcome, Option<Report>),
+    /// News of an attempt that is out.
+    Noted(RequestId, u32, Note),
+    /// The client has left; no answer is owed.
+    Left(RequestId),
+}
+
+/// What fronts and engine links are to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Start an attempt.
+    Start {
+        /// Its request.
+        request: RequestId,
+        /// Its number.
+        attempt: u32,
+        /// Where.
+        engine: EngineId,
+        /// Memory to grant, MB; 0: the engine's choice.
+        memory_mb: f64,
+        /// 0 to 3.
+        priority: u8,
+        /// When it is no longer waited for.
+        until_us: u64,
+    },
+    /// Change the priority of an attempt that is out.
+    Rank {
+        /// Its request.
+        request: RequestId,
+        /// Its number.
+        attempt: u32,
+        /// 0 to 3.
+        priority: u8,
+    },
+    /// Take an attempt back; its end is still awaited.
+    Stop(RequestId, u32),
+    /// Final answer: the result of this attempt.
+    Serve(RequestId, u32),
+    /// Final answer: refused, with the milliseconds to stay away.
+    Refuse(RequestId, Option<u64>),
+    /// Final answer: failed.
+    Fail(RequestId),
+}
+
+#[derive(Debug)]
+struct Open {
+    class: ClassId,
+    deadline_us: u64,
+    attempts: u32,
+    may_have_run: bool,
+    memory_mb: f64,
+    priority: u8,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Out {
+    engine: EngineId,
+    sent_us: u64,
+    stopped: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Module(u64),
+    Attempt(RequestId, u32),
+    Deadline(RequestId),
+}
+
+/// The core of one gateway.
+pub struct Core {
+    module: Gateway,
+    effects: Vec<Effect>,
+    max_attempts: u32,
+    open: BTreeMap<RequestId, Open>,
+    out: BTreeMap<(RequestId, u32), Out>,
+    states: BTreeMap<EngineId, EngineState>,
+    alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+fn seconds(us: u64) -> f64 {
+    us as f64 / 1e6
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds.max(0.0) * 1e6).min(1e15) as u64
+}
+
+impl Core {
+    /// A core round a module that has just started.
+    ///
+    /// # Errors
+    /// Settings that no gateway could act on.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        Ok(Self {
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
+            max_attempts: settings.allowed.max_attempts,
+            module: Gateway::new(settings, seed)?,
+            open: BTreeMap::new(),
+            out: BTreeMap::new(),
+            states: BTreeMap::new(),
+            alarms: BinaryHeap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        })
+    }
+
+    /// Requests that are still owed an answer.
+    pub fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+
+    /// When the next turn is due although nothing comes in.
+    pub fn next_alarm_us(&self) -> Option<u64> {
+        self.alarms.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// One turn: all that came in, then the timers that are due, then what follows from them.
+    pub fn turn(&mut self, now_us: u64, inputs: &mut Vec<Input>, commands: &mut Vec<Command>) {
+        for input in inputs.drain(..) {
+            self.take(now_us, input, commands);
+            self.drive(now_us, commands);
+        }
+        while let Some(Reverse((at, alarm))) = self.alarms.peek().copied() {
+            if at > now_us {
+                break;
+            }
+            self.alarms.pop();
+            self.ring(now_us, alarm, commands);
+            self.drive(now_us, commands);
+        }
+    }
+
+    fn take(&mut self, now_us: u64, input: Input, commands: &mut Vec<Command>) {
+        match input {
+            Input::List(mode, entries) => {
+                if matches!(mode, ListMode::Full | ListMode::Cached) {
+                    self.states.values_mut().for_each(|s| *s = EngineState::Gone);
+                }
+                self.states.extend(entries.iter().map(|e| (e.engine, e.state)));
+                self.events.push_back(Event::List { mode, entries });
+            }
+            Input::Asked(id, ask) => {
+                let deadline_us = ask.deadline_us.saturating_sub(MARGIN_US);
+                let open = Open {
+                    class: ask.class,
+                    deadline_us,
+                    attempts: 0,
+                    may_have_run: false,
+                    memory_mb: 0.0,
+                    priority: 1,
+                };
+                self.open.insert(id, open);
+                // The module plans the end itself; this guards against one that does not.
+                self.alarms.push(Reverse((deadline_us, Alarm::Deadline(id))));
+                self.events.push_back(Event::Arrived(Request {
+                    id,
+                    class: ask.class,
+                    tenant: ask.tenant,
+                    key: None,
+                    deadline: seconds(deadline_us),
+                    estimate: ask.estimate,
+                    need_mb: ask.need_mb,
+                    group: ask.group,
+                    retry: false,
+                }));
+            }
+            Input::Ended(id, attempt, outcome, report) => {
+                self.ended(now_us, id, attempt, outcome, report, commands);
+            }
+            Input::Noted(request, attempt, note) => {
+                if self.out.contains_key(&(request, attempt)) {
+                    self.events.push_back(Event::Noted { request, attempt, note });
+                }
+            }
+            Input::Left(id) => {
+                if self.open.remove(&id).is_some() {
+                    self.events.push_back(Event::Aborted(id));
+                }
+            }
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now_us: u64,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        report: Option<Report>,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(out) = self.out.remove(&(id, attempt)) else { return };
+        let proves = matches!(outcome, Outcome::Unreachable | Outcome::Overloaded | Outcome::Void);
+        let mut settled = true;
+        if let Some(open) = self.open.get_mut(&id) {
+            settled = outcome == Outcome::Success;
+            if settled {
+                self.open.remove(&id);
+                commands.push(Command::Serve(id, attempt));
+            } else {
+                open.may_have_run |= !proves;
+            }
+        }
+        self.events.push_back(Event::Ended {
+            request: id,
+            attempt,
+            engine: out.engine,
+            outcome,
+            elapsed: seconds(now_us.saturating_sub(out.sent_us)),
+            settled,
+            cost: None,
+            report,
+        });
+    }
+
+    fn ring(&mut self, now_us: u64, alarm: Alarm, commands: &mut Vec<Command>) {
+        match alarm {
+            Alarm::Module(token) => self.events.push_back(Event::Timer(token)),
+            Alarm::Attempt(id, attempt) => self.stop(id, attempt, commands),
+            Alarm::Deadline(id) => {
+                if let Some(open) = self.open.get(&id) {
+                    debug_assert!(now_us >= open.deadline_us);
+                    self.events.push_back(Event::Aborted(id));
+                    self.answer_unserved(id, None, false, commands);
+                }
+            }
+        }
+    }
+
+    fn stop(&mut self, id: RequestId, attempt: u32, commands: &mut Vec<Command>) {
+        if let Some(out) = self.out.get_mut(&(id, attempt)).filter(|o| !o.stopped) {
+            out.stopped = true;
+            commands.push(Command::Stop(id, attempt));
+        }
+    }
+
+    /// The one place where a request ends unserved. A refusal promises that trying again is harmless, so
+    /// it stands only where that is so: repeats do no harm, or no attempt may have run or be running.
+    fn answer_unserved(
+        &mut self,
+        id: RequestId,
+        retry_after: Option<f64>,
+        refuse: bool,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let running = self.out.range((id, 0)..=(id, u32::MAX)).next().is_some();
+        let harmless = match self.effects[open.class.0] {
+            Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => !(running || open.may_have_run),
+        };
+        commands.push(if refuse && harmless {
+            Command::Refuse(id, retry_after.map(|s| (s * 1000.0).ceil() as u64))
+        } else {
+            Command::Fail(id)
+        });
+    }
+
+    /// Hands pending events to the module and carries out what it wants, till nothing is left.
+    fn drive(&mut self, now_us: u64, commands: &mut Vec<Command>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.module.on_event(seconds(now_us), &event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now_us, action, commands);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now_us: u64, action: Action, commands: &mut Vec<Command>) {
+        match action {
+            Action::Terms { request, memory_mb, priority } => {
+                let Some(open) = self.open.get_mut(&request) else { return };
+                let changed = open.priority != priority;
+                (open.memory_mb, open.priority) = (memory_mb, priority);
+                let out = self.out.range((request, 0)..=(request, u32::MAX)).filter(|(_, o)| !o.stopped);
+                commands.extend(out.filter(|_| changed).map(|((request, attempt), _)| Command::Rank {
+                    request: *request,
+                    attempt: *attempt,
+                    priority,
+                }));
+            }
+            Action::Send { request, engine, timeout } => {
+                self.send(now_us, request, engine, timeout, commands)
+            }
+            Action::Cancel { request, attempt } => self.stop(request, attempt, commands),
+            Action::Refuse { request, retry_after } => {
+                self.answer_unserved(request, retry_after, true, commands);
+            }
+            Action::Fail(request) => self.answer_unserved(request, None, false, commands),
+            Action::SetTimer { delay, token } => {
+                self.alarms.push(Reverse((now_us + micros(delay), Alarm::Module(token))));
+            }
+            // The platform pushes its list and forbids probes; the module asks for neither there.
+            Action::Probe(_) | Action::Subscribe => {}
+        }
+    }
+
+    fn send(
+        &mut self,
+        now_us: u64,
+        id: RequestId,
+        engine: EngineId,
+        timeout: Option<f64>,
+        commands: &mut Vec<Command>,
+    ) {
+        let busy = self.out.range((id, 0)..=(id, u32::MAX)).next().is_some();
+        let ready = self.states.get(&engine) == Some(&EngineState::Ready);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        let until_us = timeout.map_or(open.deadline_us, |t| open.deadline_us.min(now_us + micros(t)));
+        self.out.insert((id, attempt), Out { engine, sent_us: now_us, stopped: false });
+        // A module that asked for one of these would break a rule on the wire; here it only loses a try.
+        let spent = self.max_attempts > 0 && attempt >= self.max_attempts;
+        if busy || !ready || spent || until_us <= now_us {
+            self.ended(now_us, id, attempt, Outcome::Void, None, commands);
+            return;
+        }
+        if timeout.is_some() {
+            self.alarms.push(Reverse((until_us, Alarm::Attempt(id, attempt))));
+        }
+        let (memory_mb, priority) = (open.memory_mb, open.priority);
+        commands.push(Command::Start { request: id, attempt, engine, memory_mb, priority, until_us });
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/gateway/src/counters.rs
@@ -0,0 +1,80 @@
+//! Counters of what the gateway takes in, sends and answers.
+
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// One number for each thing counted since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(f, concat!(stringify!($name), "={} "), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    clients,
+    /// Requests taken and handed to the core.
+    taken,
+    /// Requests turned down before the core: bad fields, oversized messages.
+    invalid,
+    /// Final answers: all rows.
+    served,
+    /// Final answers: refused.
+    refused,
+    /// Final answers: failed.
+    failed,
+    /// Requests whose client left first.
+    left,
+    /// Attempts handed to an engine link.
+    sent,
+    /// Attempts taken back.
+    stopped,
+    /// Connections opened to engines.
+    engine_connects,
+    /// Attempts that ended well, turned away, in an error, without a connection, on a broken one, never sent.
+    ended_success,
+    /// Turned away by a full engine.
+    ended_overloaded,
+    /// An error of the engine.
+    ended_failure,
+    /// No connection came up.
+    ended_unreachable,
+    /// The connection broke.
+    ended_broken,
+    /// Taken back.
+    ended_withdrawn,
+    /// Timed out.
+    ended_timed_out,
+    /// Never sent.
+    ended_void,
+    /// Events of the coordinator.
+    list_events,
+    /// Times the coordinator's stream was opened.
+    list_connects,
+}
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn ended(&mut self, outcome: notchridge::interface::Outcome) {
+        use notchridge::interface::Outcome as O;
+        *match outcome {
+            O::Success => &mut self.ended_success,
+            O::Failure => &mut self.ended_failure,
+            O::Overloaded => &mut self.ended_overloaded,
+            O::TimedOut => &mut self.ended_timed_out,
+            O::Unreachable => &mut self.ended_unreachable,
+            O::Broken => &mut self.ended_broken,
+            O::Withdrawn => &mut self.ended_withdrawn,
+            O::Void => &mut self.ended_void,
+        } += 1;
+    }
+}
--- /dev/null
+++ b/gateway/src/engine/http.rs
@@ -0,0 +1,343 @@
+//! The engines' HTTP: calls, answers, and the course of one attempt over them.
+
+use std::io::Write;
+
+use notchridge::interface::{Note, Outcome, Report};
+
+use crate::front::Rows;
+
+/// An answer whose head or body is longer than this is broken: pages hold 6,000 bytes.
+const MAX_ANSWER: usize = 64 * 1024;
+
+/// An answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Response {
+    /// HTTP status.
+    pub status: u16,
+    /// `X-Shed`: it proves that nothing ran.
+    pub shed: bool,
+    /// `Page-Count`.
+    pub page_count: Option<u32>,
+    /// `Page-No`.
+    pub page_no: Option<u32>,
+    /// `X-Remark` with `Figure`.
+    pub note: Option<Note>,
+    /// `X-Meter`.
+    pub report: Option<Report>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The engine closes the connection behind it.
+    pub close: bool,
+}
+
+/// An answer that can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the engine's answer is no HTTP")]
+pub struct NotHttp;
+
+/// Reads one whole answer from `input` and takes it out; `None`: more must come.
+pub fn read(input: &mut Vec<u8>, extras: &[String; 2]) -> Result<Option<Response>, NotHttp> {
+    let mut headers = [httparse::EMPTY_HEADER; 48];
+    let mut head = httparse::Response::new(&mut headers);
+    let at = match head.parse(input).map_err(|_| NotHttp)? {
+        httparse::Status::Complete(at) => at,
+        httparse::Status::Partial if input.len() > MAX_ANSWER => return Err(NotHttp),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let mut r =
+        Response { status: head.code.unwrap_or(0), close: head.version == Some(0), ..Response::default() };
+    let (mut length, mut chunked, mut remark, mut figure) = (0, false, None, 0.0);
+    for h in head.headers.iter() {
+        let value = std::str::from_utf8(h.value).map_err(|_| NotHttp)?.trim();
+        let is = |name: &str| h.name.eq_ignore_ascii_case(name);
+        let number = || value.parse::<u32>().map_err(|_| NotHttp);
+        if is("content-length") {
+            length = value.parse::<usize>().map_err(|_| NotHttp)?;
+        } else if is("transfer-encoding") {
+            chunked = value.eq_ignore_ascii_case("chunked");
+        } else if is("connection") {
+            r.close = value.eq_ignore_ascii_case("close");
+        } else if is("x-shed") {
+            r.shed = value == "1";
+        } else if is("page-count") {
+            r.page_count = Some(number()?);
+        } else if is("page-no") {
+            r.page_no = Some(number()?);
+        } else if is("x-remark") {
+            remark = Some(value.to_owned());
+        } else if is("figure") {
+            figure = value.parse().unwrap_or(0.0);
+        } else if is("x-meter") {
+            r.report = Some(report(value, extras));
+        }
+    }
+    r.note = remark.and_then(|kind| note(&kind, figure));
+    let end = if chunked {
+        match chunks(&input[at..], &mut r.body)? {
+            Some(n) => at + n,
+            None => return Ok(None),
+        }
+    } else {
+        let length = if r.status == 204 || r.status == 304 { 0 } else { length };
+        if length > MAX_ANSWER {
+            return Err(NotHttp);
+        }
+        let Some(body) = input.get(at..at + length) else { return Ok(None) };
+        r.body.extend(body);
+        at + length
+    };
+    input.drain(..end);
+    Ok(Some(r))
+}
+
+/// Reads a chunked body; the number of bytes that it took.
+fn chunks(input: &[u8], body: &mut Vec<u8>) -> Result<Option<usize>, NotHttp> {
+    let mut at = 0;
+    loop {
+        let (start, length) = match httparse::parse_chunk_size(&input[at..]).map_err(|_| NotHttp)? {
+            httparse::Status::Complete((start, length)) => (at + start, length as usize),
+            httparse::Status::Partial => return Ok(None),
+        };
+        if body.len() + length > MAX_ANSWER {
+            return Err(NotHttp);
+        }
+        let Some(chunk) = input.get(start..start + length + 2) else { return Ok(None) };
+        body.extend(&chunk[..length]);
+        at = start + length + 2;
+        if length == 0 {
+            return Ok(Some(at));
+        }
+    }
+}
+
+fn note(kind: &str, figure: f64) -> Option<Note> {
+    match kind {
+        "progress" => Some(Note::Progress(figure)),
+        "spill_mb" => Some(Note::Spills(figure)),
+        "blocked" if figure >= 2.0 => Some(Note::WaitsForLoad),
+        "blocked" => Some(Note::WaitsForMemory),
+        _ => None,
+    }
+}
+
+/// Reads a load report such as `inflight:7;util:0.61`; x0 and x1 stand for what the settings say.
+fn report(text: &str, extras: &[String; 2]) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(';').filter_map(|p| p.split_once(':')) {
+        let Ok(value) = value.trim().parse::<f64>() else { continue };
+        let extra = |i: usize| extras[i].as_str();
+        let slot = match name.trim() {
+            "inflight" => &mut report.inflight,
+            "queue" => &mut report.queue,
+            "util" => &mut report.cores_busy,
+            "x0" if extra(0).contains("memory") => &mut report.memory_granted,
+            "x0" if extra(0).contains("disk") => &mut report.disks_busy,
+            "x1" if extra(1).contains("memory") => &mut report.memory_granted,
+            "x1" if extra(1).contains("disk") => &mut report.disks_busy,
+            _ => continue,
+        };
+        *slot = Some(value);
+    }
+    report
+}
+
+/// What starts a query on an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start<'a> {
+    /// The client's id.
+    pub ticket: &'a str,
+    /// The class's name.
+    pub class: &'a str,
+    /// The statement.
+    pub statement: &'a [u8],
+    /// How long it is waited for.
+    pub max_ms: u64,
+    /// Memory to grant; 0: the engine's choice.
+    pub grant_mb: f64,
+    /// Its priority.
+    pub rank: u8,
+}
+
+/// Writes the call that starts a query.
+pub fn post(s: &Start<'_>, out: &mut Vec<u8>) {
+    let _ = write!(
+        out,
+        "POST /data HTTP/1.1\r\nHost: engine\r\nX-Ticket: {}\r\nX-Queue: {}\r\nX-Max-Ms: {}\r\nRank: {}\r\n",
+        s.ticket, s.class, s.max_ms, s.rank
+    );
+    if s.grant_mb > 0.0 {
+        let _ = write!(out, "Grant-Mb: {}\r\n", s.grant_mb.ceil() as u64);
+    }
+    let _ = write!(out, "Content-Length: {}\r\n\r\n", s.statement.len());
+    out.extend(s.statement);
+}
+
+/// Writes the call that asks for news (page 0) or for a page.
+pub fn get(ticket: &str, page: u32, out: &mut Vec<u8>) {
+    let _ = write!(out, "GET /data/{ticket}/{page} HTTP/1.1\r\nHost: engine\r\n\r\n");
+}
+
+/// Writes the call that changes a priority.
+pub fn put(ticket: &str, rank: u8, out: &mut Vec<u8>) {
+    let _ = write!(out, "PUT /data/{ticket} HTTP/1.1\r\nHost: engine\r\nContent-Length: 1\r\n\r\n{rank}");
+}
+
+/// Writes the call that gives a query up.
+pub fn delete(ticket: &str, out: &mut Vec<u8>) {
+    let _ = write!(out, "DELETE /data/{ticket} HTTP/1.1\r\nHost: engine\r\n\r\n");
+}
+
+/// The course of one attempt: asked for till it ends, then page after page. Only when all are here has it
+/// ended well, so that an engine lost between pages leaves the request whole for another try.
+#[derive(Debug)]
+pub struct Exchange {
+    ticket: String,
+    pages: Vec<Vec<u8>>,
+    page_count: u32,
+}
+
+/// What an answer means for the attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// The next call has been written.
+    Asked,
+    /// It is over.
+    Ended(Outcome),
+}
+
+impl Exchange {
+    /// An attempt whose start is being sent.
+    pub fn new(ticket: &str) -> Self {
+        Self { ticket: ticket.to_owned(), pages: Vec::new(), page_count: 0 }
+    }
+
+    /// Takes an answer, writes the next call to `out` if there is one.
+    pub fn on_response(&mut self, r: &mut Response, out: &mut Vec<u8>) -> Step {
+        let wanted = self.pages.len() as u32;
+        match r.status {
+            202 if wanted == 0 => {
+                get(&self.ticket, 0, out);
+                Step::Asked
+            }
+            // Page 0 names the number of pages; a further page must be the one asked for.
+            200 if (wanted == 0 && r.page_no.unwrap_or(0) == 0)
+                || (wanted > 0 && r.page_no == Some(wanted)) =>
+            {
+                if wanted == 0 {
+                    self.page_count = r.page_count.unwrap_or(1);
+                }
+                self.pages.push(std::mem::take(&mut r.body));
+                if wanted + 1 < self.page_count {
+                    get(&self.ticket, wanted + 1, out);
+                    Step::Asked
+                } else {
+                    Step::Ended(Outcome::Success)
+                }
+            }
+            // Only these prove that it never ran; the same status without the mark may hide anything.
+            503 if r.shed && wanted == 0 => Step::Ended(Outcome::Overloaded),
+            504 if r.shed && wanted == 0 => Step::Ended(Outcome::Void),
+            _ => Step::Ended(Outcome::Failure),
+        }
+    }
+
+    /// The rows of all pages; `None` if they are no table.
+    pub fn rows(&self) -> Option<Rows> {
+        let mut rows = Rows::default();
+        for page in &self.pages {
+            let Some((b'\n', body)) = page.split_last() else {
+                if page.is_empty() { continue } else { return None }
+            };
+            for line in body.split(|b| *b == b'\n') {
+                let before = rows.cells.len();
+                rows.cells.extend(line.split(|b| *b == b'\t').map(|c| Some(c.to_vec())));
+                let width = rows.cells.len() - before;
+                if rows.columns.is_empty() {
+                    rows.columns = (1..=width).map(|n| format!("c{n}")).collect();
+                } else if width != rows.columns.len() {
+                    return None;
+                }
+            }
+        }
+        if rows.columns.is_empty() {
+            rows.columns = (1..=3).map(|n| format!("c{n}")).collect();
+        }
+        Some(rows)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn no_extras() -> [String; 2] {
+        [String::new(), String::new()]
+    }
+
+    fn answer(text: &str) -> Response {
+        read(&mut text.as_bytes().to_vec(), &no_extras()).unwrap().unwrap()
+    }
+
+    #[test]
+    fn answers_are_read_whole_or_not_at_all() {
+        let text = b"HTTP/1.1 200 OK\r\nPage-Count: 2\r\nX-Meter: queue:3;util:0.5\r\nContent-Length: 6\r\n\r\na\tb\tc\nHTTP";
+        for cut in 0..text.len() - 4 {
+            assert_eq!(read(&mut text[..cut].to_vec(), &no_extras()), Ok(None), "{cut} bytes");
+        }
+        let mut input = text.to_vec();
+        let r = read(&mut input, &no_extras()).unwrap().unwrap();
+        assert_eq!(input, b"HTTP");
+        assert_eq!((r.status, r.page_count, r.body.as_slice()), (200, Some(2), b"a\tb\tc\n".as_slice()));
+        assert_eq!(r.report.unwrap().queue, Some(3.0));
+    }
+
+    #[test]
+    fn chunked_bodies_are_joined() {
+        let r = answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+        assert_eq!(r.body, b"abc");
+    }
+
+    #[test]
+    fn noise_and_endless_heads_are_refused() {
+        assert_eq!(read(&mut b"220 smtp ready\r\n".to_vec(), &no_extras()), Err(NotHttp));
+        let long = format!("HTTP/1.1 200 OK\r\nX: {}", "a".repeat(MAX_ANSWER));
+        assert_eq!(read(&mut long.into_bytes(), &no_extras()), Err(NotHttp));
+    }
+
+    #[test]
+    fn each_answer_has_its_outcome() {
+        let end = |text: &str| {
+            let mut out = Vec::new();
+            Exchange::new("aa").on_response(&mut answer(text), &mut out)
+        };
+        let empty = "Content-Length: 0\r\n\r\n";
+        assert_eq!(end(&format!("HTTP/1.1 503 x\r\nX-Shed: 1\r\n{empty}")), Step::Ended(Outcome::Overloaded));
+        assert_eq!(end(&format!("HTTP/1.1 503 x\r\n{empty}")), Step::Ended(Outcome::Failure));
+        assert_eq!(end(&format!("HTTP/1.1 504 x\r\nX-Shed: 1\r\n{empty}")), Step::Ended(Outcome::Void));
+        assert_eq!(end(&format!("HTTP/1.1 500 x\r\nX-Shed: 1\r\n{empty}")), Step::Ended(Outcome::Failure));
+        assert_eq!(end(&format!("HTTP/1.1 202 x\r\n{empty}")), Step::Asked);
+    }
+
+    #[test]
+    fn all_pages_come_before_the_end() {
+        let mut e = Exchange::new("aa");
+        let mut out = Vec::new();
+        let first = "HTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 6\r\n\r\na\tb\tc\n";
+        assert_eq!(e.on_response(&mut answer(first), &mut out), Step::Asked);
+        assert!(out.starts_with(b"GET /data/aa/1 "));
+        let second = "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 6\r\n\r\nd\t\tf\n";
+        assert_eq!(e.on_response(&mut answer(second), &mut out), Step::Ended(Outcome::Success));
+        let rows = e.rows().unwrap();
+        assert_eq!(rows.rows().count(), 2);
+        assert_eq!(rows.cells[4].as_deref(), Some(b"".as_slice()));
+    }
+
+    #[test]
+    fn a_lost_page_is_a_failure() {
+        let mut e = Exchange::new("aa");
+        let first = "HTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 6\r\n\r\na\tb\tc\n";
+        e.on_response(&mut answer(first), &mut Vec::new());
+        let lost = "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n";
+        assert_eq!(e.on_response(&mut answer(lost), &mut Vec::new()), Step::Ended(Outcome::Failure));
+    }
+}
--- /dev/null
+++ b/gateway/src/engine/mod.rs
@@ -0,0 +1,3 @@
+//! Engine links: what engines speak. Each is a state machine over bytes, without sockets or decisions.
+
+pub mod http;
--- /dev/null
+++ b/gateway/src/net/conn.rs
@@ -0,0 +1,144 @@
+//! One TCP connection with its buffers.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use socket2::{Domain, Protocol, Socket, Type};
+
+use super::poll::{Interest, Poll};
+
+/// How far a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It is not up yet.
+    Connecting,
+    /// It is up.
+    Open,
+    /// What is written still goes out, then it is closed.
+    Closing,
+}
+
+/// A connection.
+pub struct Conn {
+    stream: TcpStream,
+    registered: Interest,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Bytes read and not yet understood.
+    pub input: Vec<u8>,
+    /// Bytes to be written.
+    pub output: Vec<u8>,
+    /// No more than this is read ahead.
+    pub read_ahead: usize,
+}
+
+/// What reading brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadEnd {
+    /// Nothing more for now.
+    Later,
+    /// The other side has closed.
+    Eof,
+    /// The connection is broken.
+    Broken,
+}
+
+impl Conn {
+    /// An accepted connection.
+    pub fn accepted(poll: &Poll, stream: TcpStream, key: usize, read_ahead: usize) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        Self::register(poll, stream, key, Phase::Open, read_ahead)
+    }
+
+    /// A connection that is being opened.
+    pub fn connect(poll: &Poll, address: SocketAddr, key: usize, read_ahead: usize) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        match socket.connect(&address.into()) {
+            Ok(()) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(IN_PROGRESS) => {}
+            Err(e) => return Err(e),
+        }
+        Self::register(poll, socket.into(), key, Phase::Connecting, read_ahead)
+    }
+
+    fn register(poll: &Poll, stream: TcpStream, key: usize, phase: Phase, ahead: usize) -> io::Result<Self> {
+        let registered = Interest { read: phase == Phase::Open, write: phase == Phase::Connecting };
+        poll.add(&stream, key, registered)?;
+        Ok(Self { stream, registered, phase, input: Vec::new(), output: Vec::new(), read_ahead: ahead })
+    }
+
+    /// Whether the connection has come up.
+    pub fn finish_connect(&mut self) -> io::Result<()> {
+        if let Some(e) = self.stream.take_error()? {
+            return Err(e);
+        }
+        self.stream.peer_addr()?;
+        self.phase = Phase::Open;
+        Ok(())
+    }
+
+    /// Reads what is there, up to the read-ahead.
+    pub fn fill(&mut self) -> ReadEnd {
+        let mut chunk = [0; 16 * 1024];
+        while self.input.len() < self.read_ahead {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return ReadEnd::Eof,
+                Ok(n) => self.input.extend(&chunk[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return ReadEnd::Later,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return ReadEnd::Broken,
+            }
+        }
+        ReadEnd::Later
+    }
+
+    /// Writes what the socket takes. An error means that the connection is broken.
+    pub fn flush(&mut self) -> io::Result<()> {
+        let mut done = 0;
+        let end = loop {
+            if done == self.output.len() {
+                break Ok(());
+            }
+            match self.stream.write(&self.output[done..]) {
+                Ok(0) => break Err(ErrorKind::WriteZero.into()),
+                Ok(n) => done += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => break Err(e),
+            }
+        };
+        self.output.drain(..done);
+        // A quiet connection keeps no buffer of its largest message.
+        if self.output.is_empty() && self.output.capacity() > 16 * 1024 {
+            self.output = Vec::new();
+        }
+        if self.input.is_empty() && self.input.capacity() > 16 * 1024 {
+            self.input = Vec::new();
+        }
+        end
+    }
+
+    /// Waits for what is wanted next.
+    pub fn update(&mut self, poll: &Poll, key: usize) -> io::Result<()> {
+        let wanted = Interest {
+            read: self.phase == Phase::Open && self.input.len() < self.read_ahead,
+            write: self.phase == Phase::Connecting || !self.output.is_empty(),
+        };
+        if wanted != self.registered {
+            poll.change(&self.stream, key, wanted)?;
+            self.registered = wanted;
+        }
+        Ok(())
+    }
+
+    /// Takes it out of the poller; the socket closes when it is dropped.
+    pub fn close(self, poll: &Poll) {
+        poll.remove(&self.stream);
+    }
+}
+
+/// EINPROGRESS on Linux, for which the standard library has no stable name.
+const IN_PROGRESS: i32 = 115;
--- /dev/null
+++ b/gateway/src/net/mod.rs
@@ -0,0 +1,373 @@
+//! The network: one poll loop, connections, the descriptor budget, and engines' connection pools.
+//!
+//! A turn reads the clock once, gathers all that is ready, hands it to the core in one go and carries out
+//! the commands that come back.
+
+pub mod conn;
+pub mod poll;
+
+mod clients;
+mod engines;
+mod feed;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::io;
+use std::net::TcpListener;
+use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant, SystemTime};
+
+use notchridge::interface::*;
+
+use crate::config::{Config, ListEvent, Names};
+use crate::core::{Command, Core, Input};
+use crate::counters::Counters;
+use clients::Client;
+use conn::{Conn, Phase};
+use engines::{Attempt, Engine, Link};
+use poll::{Interest, Poll};
+
+const PG_LISTENER: usize = 0;
+const TERM: usize = 2;
+const PRINT: usize = 3;
+const FIRST_CONN: usize = 16;
+
+/// How long new work is still taken after SIGTERM, in microseconds.
+const GOING_US: u64 = 700_000;
+
+/// Descriptors beside connections: listeners, poller, signals, standard streams, one being accepted.
+const OWN_DESCRIPTORS: usize = 32;
+
+/// Why the gateway can't serve.
+#[derive(Debug, thiserror::Error)]
+pub enum ServeError {
+    /// The address is not to be had.
+    #[error("can't listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, io::Error),
+    /// The poller or a signal failed.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The settings make no sense.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+enum Role {
+    Client(Client),
+    Engine(Link),
+    Feed(crate::coordinator::Stream),
+}
+
+struct Peer {
+    conn: Conn,
+    role: Role,
+    /// Tells this connection from others that had its place, for timers.
+    serial: u64,
+}
+
+/// A request that is owed an answer.
+struct Request {
+    client: usize,
+    ticket: String,
+    class: ClassId,
+    statement: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    /// A connection must be up by now.
+    ConnectBy(usize, u64),
+    /// An attempt that was given up is over by itself by now.
+    Lapse(RequestId, u32),
+    /// Idle connections are looked through.
+    Sweep,
+    /// The coordinator's stream is looked at.
+    Feed,
+}
+
+/// The running gateway.
+pub struct Server {
+    config: Config,
+    names: Names,
+    core: Core,
+    counters: Counters,
+    poll: Poll,
+    clock: Instant,
+    now_us: u64,
+    unix_offset_us: i128,
+    pg: Option<TcpListener>,
+    peers: Vec<Option<Peer>>,
+    free: Vec<usize>,
+    serials: u64,
+    dirty: Vec<usize>,
+    clients: usize,
+    engine_conns: usize,
+    requests: BTreeMap<RequestId, Request>,
+    next_request: u64,
+    engines: BTreeMap<EngineId, Engine>,
+    engine_ids: HashMap<String, EngineId>,
+    attempts: BTreeMap<(RequestId, u32), Attempt>,
+    results: BTreeMap<(RequestId, u32), crate::front::Rows>,
+    inputs: Vec<Input>,
+    alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
+    feed: feed::Feed,
+    known: VecDeque<ListEvent>,
+    secrets: u64,
+    stopping_since: Option<u64>,
+}
+
+impl Server {
+    /// Listens and takes in the list of engines known so far.
+    pub fn new(mut config: Config) -> Result<Self, ServeError> {
+        let listen = config.listen;
+        let pg = TcpListener::bind(listen).map_err(|e| ServeError::Listen(listen, e))?;
+        pg.set_nonblocking(true)?;
+        let poll = Poll::new()?;
+        poll.add(&pg, PG_LISTENER, Interest { read: true, write: false })?;
+        let (last, known) = std::mem::take(&mut config.known);
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let mut server = Self {
+            core: Core::new(config.settings.clone(), config.seed)?,
+            names: std::mem::take(&mut config.names),
+            counters: Counters::default(),
+            poll,
+            clock: Instant::now(),
+            now_us: 0,
+            unix_offset_us: i128::try_from(unix.as_micros()).unwrap_or(0),
+            pg: Some(pg),
+            peers: Vec::new(),
+            free: Vec::new(),
+            serials: 0,
+            dirty: Vec::new(),
+            clients: 0,
+            engine_conns: 0,
+            requests: BTreeMap::new(),
+            next_request: 1,
+            engines: BTreeMap::new(),
+            engine_ids: HashMap::new(),
+            attempts: BTreeMap::new(),
+            results: BTreeMap::new(),
+            inputs: Vec::new(),
+            alarms: BinaryHeap::new(),
+            feed: feed::Feed::new(last),
+            known: known.into(),
+            secrets: config.seed,
+            stopping_since: None,
+            config,
+        };
+        server.alarms.push(Reverse((0, Alarm::Sweep)));
+        server.alarms.push(Reverse((0, Alarm::Feed)));
+        while let Some(event) = server.known.pop_front() {
+            server.listed(&event);
+        }
+        Ok(server)
+    }
+
+    /// Serves until SIGTERM has come and all that was taken is answered. SIGUSR1 prints the counters.
+    pub fn run(mut self) -> Result<Counters, ServeError> {
+        let term = signal_pipe(signal_hook::consts::SIGTERM)?;
+        let print = signal_pipe(signal_hook::consts::SIGUSR1)?;
+        self.poll.add(&term, TERM, Interest { read: true, write: false })?;
+        self.poll.add(&print, PRINT, Interest { read: true, write: false })?;
+        loop {
+            let ready = self.poll.wait(self.timeout())?;
+            self.now_us = self.clock.elapsed().as_micros() as u64;
+            for (key, interest) in ready {
+                match key {
+                    PG_LISTENER => self.accept(),
+                    TERM => {
+                        drain(&term);
+                        self.stopping_since.get_or_insert(self.now_us);
+                        tracing::info!("SIGTERM: taking for 0.7 s more");
+                    }
+                    PRINT => {
+                        drain(&print);
+                        tracing::info!(counters = %self.counters, open = self.core.open_requests());
+                    }
+                    _ => self.ready(key - FIRST_CONN, interest),
+                }
+            }
+            self.ring();
+            self.turn();
+            if self.is_done() {
+                return Ok(self.counters);
+            }
+        }
+    }
+
+    /// Hands what has come to the core and carries out what it wants.
+    fn turn(&mut self) {
+        let mut inputs = std::mem::take(&mut self.inputs);
+        let mut commands = Vec::new();
+        self.core.turn(self.now_us, &mut inputs, &mut commands);
+        for command in commands {
+            self.carry_out(command);
+        }
+        self.results.clear();
+        while let Some(at) = self.dirty.pop() {
+            self.flush(at);
+        }
+    }
+
+    fn timeout(&self) -> Option<Duration> {
+        if !self.inputs.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let own = self.alarms.peek().map(|Reverse((at, _))| *at);
+        let going = self.stopping_since.map(|at| at + GOING_US).filter(|at| *at > self.now_us);
+        let next = [own, self.core.next_alarm_us(), going].into_iter().flatten().min()?;
+        let now = self.clock.elapsed().as_micros() as u64;
+        Some(Duration::from_micros(next.saturating_sub(now)))
+    }
+
+    fn is_going(&self) -> bool {
+        self.stopping_since.is_some_and(|at| self.now_us >= at + GOING_US)
+    }
+
+    /// After the time for taking, all that was taken is finished and written out.
+    fn is_done(&mut self) -> bool {
+        if !self.is_going() {
+            return false;
+        }
+        if let Some(listener) = self.pg.take() {
+            self.poll.remove(&listener);
+        }
+        let writing = |p: &Peer| matches!(p.role, Role::Client(_)) && !p.conn.output.is_empty();
+        // Attempts that were given up are still told so at their engines.
+        self.requests.is_empty() && self.inputs.is_empty() && !self.peers.iter().flatten().any(writing)
+    }
+
+    fn ring(&mut self) {
+        while let Some(Reverse((at, alarm))) = self.alarms.peek().copied() {
+            if at > self.now_us {
+                break;
+            }
+            self.alarms.pop();
+            match alarm {
+                Alarm::ConnectBy(at, serial) => {
+                    let late = self
+                        .peer(at)
+                        .is_some_and(|p| p.serial == serial && p.conn.phase == Phase::Connecting);
+                    if late {
+                        self.lost(at);
+                    }
+                }
+                Alarm::Lapse(request, attempt) => {
+                    if self.attempts.get(&(request, attempt)).is_some_and(|a| a.stopping) {
+                        self.end_attempt((request, attempt), Outcome::Withdrawn, None);
+                    }
+                }
+                Alarm::Sweep => {
+                    self.sweep();
+                    self.alarms.push(Reverse((self.now_us + 500_000, Alarm::Sweep)));
+                }
+                Alarm::Feed => self.look_at_feed(),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Start { request, attempt, engine, memory_mb, priority, until_us } => {
+                self.start((request, attempt), engine, memory_mb, priority, until_us);
+            }
+            Command::Rank { request, attempt, priority } => self.rank((request, attempt), priority),
+            Command::Stop(request, attempt) => self.stop((request, attempt)),
+            Command::Serve(..) | Command::Refuse(..) | Command::Fail(_) => self.answer(command),
+        }
+    }
+
+    fn peer(&mut self, at: usize) -> Option<&mut Peer> {
+        self.peers.get_mut(at).and_then(Option::as_mut)
+    }
+
+    /// Finds a place for a connection; its key in the poller is the place after [`FIRST_CONN`].
+    fn place(&mut self) -> usize {
+        self.free.pop().unwrap_or_else(|| {
+            self.peers.push(None);
+            self.peers.len() - 1
+        })
+    }
+
+    fn put(&mut self, at: usize, conn: Conn, role: Role) -> u64 {
+        self.serials += 1;
+        self.peers[at] = Some(Peer { conn, role, serial: self.serials });
+        self.serials
+    }
+
+    /// The one place where a connection is closed.
+    fn close(&mut self, at: usize) -> Option<Role> {
+        let peer = self.peers.get_mut(at)?.take()?;
+        peer.conn.close(&self.poll);
+        self.free.push(at);
+        match peer.role {
+            Role::Client(_) => self.clients -= 1,
+            Role::Engine(_) => self.engine_conns -= 1,
+            Role::Feed(_) => {}
+        }
+        Some(peer.role)
+    }
+
+    fn ready(&mut self, at: usize, interest: Interest) {
+        let Some(peer) = self.peer(at) else { return };
+        if peer.conn.phase == Phase::Connecting {
+            if !interest.write && !interest.read {
+                return;
+            }
+            if peer.conn.finish_connect().is_err() {
+                return self.lost(at);
+            }
+            self.connected(at);
+        }
+        if interest.write {
+            self.dirty.push(at);
+        }
+        if interest.read {
+            let Some(peer) = self.peer(at) else { return };
+            let end = peer.conn.fill();
+            match peer.role {
+                Role::Client(_) => self.client_read(at, end),
+                Role::Engine(_) => self.engine_read(at, end),
+                Role::Feed(_) => self.feed_read(at, end),
+            }
+        }
+    }
+
+    /// Writes what a connection has to say and waits for what it wants next.
+    fn flush(&mut self, at: usize) {
+        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
+        if peer.conn.phase == Phase::Connecting {
+            return;
+        }
+        let broken = peer.conn.flush().is_err();
+        let over = peer.conn.phase == Phase::Closing && peer.conn.output.is_empty();
+        let broken = broken || (!over && peer.conn.update(&self.poll, at + FIRST_CONN).is_err());
+        if over {
+            self.close(at);
+        } else if broken {
+            self.lost(at);
+        }
+    }
+
+    /// A connection broke or never came up.
+    fn lost(&mut self, at: usize) {
+        match self.peer(at).map(|p| &p.role) {
+            Some(Role::Client(_)) => self.client_lost(at),
+            Some(Role::Engine(_)) => self.engine_lost(at),
+            Some(Role::Feed(_)) => self.feed_lost(at),
+            None => {}
+        }
+    }
+}
+
+fn signal_pipe(signal: i32) -> io::Result<UnixStream> {
+    let (read, write) = UnixStream::pair()?;
+    read.set_nonblocking(true)?;
+    signal_hook::low_level::pipe::register(signal, write)?;
+    Ok(read)
+}
+
+fn drain(mut pipe: &UnixStream) {
+    let mut bytes = [0; 64];
+    while io::Read::read(&mut pipe, &mut bytes).is_ok_and(|n| n > 0) {}
+}
