--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -1,1 +1,225 @@
+//! The core on a fake clock: no sockets, no waiting.
 
+use quickcheck::quickcheck;
+
+use super::*;
+use crate::config::{self, Node};
+
+const LOOKUP: ClassId = ClassId(0);
+const LOAD: ClassId = ClassId(2);
+const SECOND: u64 = 1_000_000;
+
+fn entry(engine: u32, state: EngineState) -> EngineEntry {
+    EngineEntry { engine: EngineId(engine), zone: ZoneId(0), kind: KindId(0), cell: 0, state, started: None }
+}
+
+/// A core with two ready engines, on the clock's first second.
+struct Bench {
+    core: Core,
+    now_us: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let text = include_str!("../../tests/common/config.json").replace("LIST", "");
+        let json = text.parse().unwrap();
+        let settings = config::read(&Node::root(&json, "config")).unwrap().settings;
+        let mut bench = Self { core: Core::new(settings, 7).unwrap(), now_us: SECOND };
+        bench.list(&[entry(0, EngineState::Ready), entry(1, EngineState::Ready)]);
+        bench
+    }
+
+    fn list(&mut self, entries: &[EngineEntry]) {
+        self.turn(vec![Input::List(ListMode::Delta, entries.to_vec())]);
+    }
+
+    fn turn(&mut self, mut inputs: Vec<Input>) -> Vec<Command> {
+        let mut commands = Vec::new();
+        self.core.turn(self.now_us, &mut inputs, &mut commands);
+        commands
+    }
+
+    fn ask(&mut self, id: u64, class: ClassId, wait_us: u64) -> Vec<Command> {
+        let deadline_us = self.now_us + wait_us;
+        let ask = Ask {
+            class,
+            tenant: None,
+            deadline_us,
+            estimate: Some(0.02),
+            need_mb: None,
+            group: Some(GroupId(1)),
+        };
+        self.turn(vec![Input::Asked(RequestId(id), ask)])
+    }
+
+    /// Lets time pass, alarm by alarm.
+    fn pass(&mut self, span_us: u64) -> Vec<Command> {
+        let end = self.now_us + span_us;
+        let mut commands = Vec::new();
+        while let Some(at) = self.core.next_alarm_us().filter(|at| *at <= end) {
+            self.now_us = self.now_us.max(at);
+            commands.extend(self.turn(Vec::new()));
+        }
+        self.now_us = end;
+        commands
+    }
+}
+
+fn started(commands: &[Command]) -> Option<(RequestId, u32, EngineId)> {
+    commands.iter().find_map(|c| match c {
+        Command::Start { request, attempt, engine, .. } => Some((*request, *attempt, *engine)),
+        _ => None,
+    })
+}
+
+fn answered(command: &Command) -> Option<RequestId> {
+    match command {
+        Command::Serve(id, _) | Command::Refuse(id, _) | Command::Fail(id) => Some(*id),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_request_is_sent_and_served_once() {
+    let mut b = Bench::new();
+    let (id, attempt, _) = started(&b.ask(1, LOOKUP, 3 * SECOND)).unwrap();
+    let end = Input::Ended(id, attempt, Outcome::Success, None);
+    assert_eq!(b.turn(vec![end.clone()]), [Command::Serve(id, 0)]);
+    assert_eq!(b.turn(vec![end]), [], "an end that comes twice says nothing new");
+    assert_eq!(b.pass(10 * SECOND).iter().find_map(answered), None);
+    assert_eq!(b.core.open_requests(), 0);
+}
+
+#[test]
+fn the_answer_comes_before_the_client_gives_up() {
+    let mut b = Bench::new();
+    let (id, ..) = started(&b.ask(1, LOAD, 2 * SECOND)).unwrap();
+    assert_eq!(b.pass(2 * SECOND - MARGIN_US - 10_000), []);
+    let commands = b.pass(MARGIN_US / 2 + 10_000);
+    // It may be running: a refusal would promise too much.
+    assert_eq!(commands, [Command::Fail(id), Command::Stop(id, 0)]);
+}
+
+#[test]
+fn a_load_goes_on_only_where_it_provably_never_ran() {
+    for (outcome, again) in [
+        (Outcome::Unreachable, true),
+        (Outcome::Overloaded, true),
+        (Outcome::Void, true),
+        (Outcome::Broken, false),
+        (Outcome::Failure, false),
+        (Outcome::TimedOut, false),
+        (Outcome::Withdrawn, false),
+    ] {
+        let mut b = Bench::new();
+        let (id, ..) = started(&b.ask(1, LOAD, 20 * SECOND)).unwrap();
+        let commands = b.turn(vec![Input::Ended(id, 0, outcome, None)]);
+        if again {
+            assert!(commands.iter().all(|c| *c != Command::Fail(id)), "{outcome:?}");
+            assert!(started(&commands).or_else(|| started(&b.pass(SECOND))).is_some(), "{outcome:?}");
+        } else {
+            assert_eq!(commands, [Command::Fail(id)], "{outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn nothing_is_sent_to_an_engine_that_drains_or_has_gone() {
+    let mut b = Bench::new();
+    b.list(&[entry(0, EngineState::Draining), entry(1, EngineState::Gone)]);
+    let mut commands = b.ask(1, LOOKUP, 3 * SECOND);
+    commands.extend(b.pass(4 * SECOND));
+    assert_eq!(started(&commands), None);
+    assert!(matches!(commands[..], [Command::Refuse(RequestId(1), _)]), "{commands:?}");
+    b.list(&[entry(1, EngineState::Ready)]);
+    assert_eq!(started(&b.ask(2, LOOKUP, 3 * SECOND)).unwrap().2, EngineId(1));
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_but_its_attempt_is_stopped() {
+    let mut b = Bench::new();
+    let (id, ..) = started(&b.ask(1, LOOKUP, 3 * SECOND)).unwrap();
+    assert_eq!(b.turn(vec![Input::Left(id)]), [Command::Stop(id, 0)]);
+    let mut commands = b.turn(vec![Input::Ended(id, 0, Outcome::Withdrawn, None)]);
+    commands.extend(b.pass(10 * SECOND));
+    assert_eq!(commands, []);
+}
+
+quickcheck! {
+    /// Whatever happens to attempts and engines: one final answer each, in time; one attempt at a time;
+    /// no load after one that may have run; refused only where that is harmless.
+    fn every_request_gets_one_answer_in_time(steps: Vec<(u8, u8, u16)>) -> bool {
+        let mut b = Bench::new();
+        let mut deadlines = BTreeMap::new();
+        let mut out: BTreeMap<RequestId, u32> = BTreeMap::new();
+        let mut tainted: Vec<RequestId> = Vec::new();
+        let mut answers: BTreeMap<RequestId, u64> = BTreeMap::new();
+        let mut left = Vec::new();
+        let mut next = 1;
+        for (what, which, span) in steps.into_iter().chain([(9, 0, 0)]) {
+            let pick = out.iter().nth(usize::from(which) % out.len().max(1)).map(|(id, n)| (*id, *n));
+            let commands = match what % 10 {
+                0..=2 => {
+                    let class = if which % 2 == 0 { LOOKUP } else { LOAD };
+                    let wait = 100_000 + u64::from(span) * 20;
+                    deadlines.insert(RequestId(next), (class, b.now_us + wait));
+                    next += 1;
+                    b.ask(next - 1, class, wait)
+                }
+                3..=5 => match pick {
+                    Some((id, attempt)) => {
+                        let outcomes = [Outcome::Success, Outcome::Failure, Outcome::Overloaded,
+                            Outcome::Unreachable, Outcome::Broken, Outcome::Withdrawn, Outcome::Void];
+                        let outcome = outcomes[usize::from(span) % outcomes.len()];
+                        out.remove(&id);
+                        if matches!(outcome, Outcome::Failure | Outcome::Broken | Outcome::Withdrawn) {
+                            tainted.push(id);
+                        }
+                        b.turn(vec![Input::Ended(id, attempt, outcome, None)])
+                    }
+                    None => Vec::new(),
+                },
+                6 => {
+                    let state = [EngineState::Ready, EngineState::Draining, EngineState::Gone][usize::from(which) % 3];
+                    b.list(&[entry(u32::from(span) % 2, state)]);
+                    Vec::new()
+                }
+                7 => match pick {
+                    Some((id, _)) => {
+                        left.push(id);
+                        b.turn(vec![Input::Left(id)])
+                    }
+                    None => Vec::new(),
+                },
+                8 => b.pass(u64::from(span) * 20),
+                _ => b.pass(30 * SECOND),
+            };
+            for c in &commands {
+                match c {
+                    Command::Start { request, attempt, .. } => {
+                        let load = deadlines[request].0 == LOAD;
+                        if out.insert(*request, *attempt).is_some() || (load && tainted.contains(request)) {
+                            return false;
+                        }
+                    }
+                    Command::Refuse(id, _) => {
+                        let ran = tainted.contains(id) || out.contains_key(id);
+                        if deadlines[id].0 == LOAD && ran {
+                            return false;
+                        }
+                    }
+                    _ => {}
+                }
+                if let Some(id) = answered(c) {
+                    if answers.insert(id, b.now_us).is_some() || left.contains(&id) && !matches!(c, Command::Serve(..)) {
+                        return false;
+                    }
+                }
+            }
+        }
+        // The last step let all deadlines pass. Within a long step the clock shows only its end, so the
+        // time of an answer is checked by the turn after it: none may be open.
+        b.core.open_requests() == 0 && deadlines.keys().all(|id| answers.contains_key(id) != left.contains(id)
+            || left.contains(id))
+    }
+}
