Ask again over a new connection when one breaks; close those that never answer

Seen by reading the code against PROTOCOL: a query belongs to no connection, so one that breaks while its engine lives leaves the query running, and a retry elsewhere would be a second copy (engine_lost in net/engines.rs); connections to a vanished machine stayed in the budget for good (Job::Stray, Job::Delete); a KILL could name another attempt's connection once the first had lost its place. Each has its guard now; a test cuts every connection of a live engine and finds one run and one answer.

Also: messages of 128 KiB at most, so that 341 of them stay within 192 MB; a client too many is told so.

--- a/gateway/src/engine/http.rs
+++ b/gateway/src/engine/http.rs
@@ -211,6 +211,11 @@
         Self { ticket: ticket.to_owned(), pages: Vec::new(), page_count: 0 }
     }
 
+    /// Writes the call whose answer was lost once more: for news, or for the page that is next.
+    pub fn ask_again(&self, out: &mut Vec<u8>) {
+        get(&self.ticket, self.pages.len() as u32, out);
+    }
+
     /// Takes an answer, writes the next call to `out` if there is one.
     pub fn on_response(&mut self, r: &mut Response, out: &mut Vec<u8>) -> Step {
         let wanted = self.pages.len() as u32;
--- a/gateway/src/engine/mysql.rs
+++ b/gateway/src/engine/mysql.rs
@@ -9,7 +9,7 @@
 /// Statements that a connection keeps prepared; the oldest is closed for the next.
 const MAX_PREPARED: usize = 64;
 /// The bytes that a result may have.
-const MAX_RESULT: usize = 512 * 1024;
+const MAX_RESULT: usize = 128 * 1024;
 
 /// Who the gateway is to an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -21,7 +21,7 @@
 /// Statements that one session may hold.
 const MAX_STATEMENTS: usize = 256;
 /// And the bytes of their texts together.
-const MAX_STATEMENT_BYTES: usize = 512 * 1024;
+const MAX_STATEMENT_BYTES: usize = 128 * 1024;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum State {
@@ -98,6 +98,12 @@
         }
     }
 
+    /// Turns a client away that can't be held, in place of a greeting.
+    pub fn turn_away(out: &mut Vec<u8>) {
+        let e = SqlError::new(1040, "08004", "Too many connections");
+        mysql::put_packet(out, &mut 0, &e.payload());
+    }
+
     /// Reads one message; as of the other front.
     pub fn read(&mut self, input: &mut Vec<u8>, out: &mut Vec<u8>) -> Option<Want> {
         loop {
--- a/gateway/src/front/pg.rs
+++ b/gateway/src/front/pg.rs
@@ -2,8 +2,9 @@
 
 use super::{Answer, Demand, Payload, Rows, Run, Want, fields};
 
-/// The longest message taken; a longer one ends its session. 341 sessions of this size stay within memory.
-pub const MAX_MESSAGE: usize = 256 * 1024;
+/// The longest message taken; a longer one ends its session. A message is held up to three times at once
+/// (read, kept for another attempt, being written), which 341 sessions may do within 192 MB.
+pub const MAX_MESSAGE: usize = 128 * 1024;
 const MAX_STARTUP: usize = 10_000;
 
 const PROTOCOL_3: u32 = 3 << 16;
@@ -64,6 +65,11 @@
         Self { state: State::StartUp, key, select: true }
     }
 
+    /// Turns a client away that can't be held; class 53 says that trying again is harmless.
+    pub fn turn_away(out: &mut Vec<u8>) {
+        error(out, "FATAL", "53300", "too many connections");
+    }
+
     /// Whether a request is open here.
     pub fn is_busy(&self) -> bool {
         self.state == State::Busy
--- a/gateway/src/mysql.rs
+++ b/gateway/src/mysql.rs
@@ -3,7 +3,7 @@
 use sha1::{Digest, Sha1};
 
 /// The longest packet taken from either side.
-pub const MAX_PACKET: usize = 256 * 1024;
+pub const MAX_PACKET: usize = 128 * 1024;
 
 /// Capability flags.
 pub mod caps {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,6 +1,7 @@
 //! Clients' side of the network: accepting, reading, answering.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
+use std::net::TcpStream;
 
 use notchridge::interface::*;
 
@@ -56,6 +57,20 @@
     MySql,
 }
 
+/// Tells a client that there is no room for it. It may have sent a request behind its start already, which
+/// thereby is refused. What can't be written at once is not waited for.
+fn turn_away(mut stream: TcpStream, front: Front) {
+    let mut out = Vec::new();
+    match front {
+        Front::Pg => pg::Session::turn_away(&mut out),
+        Front::MySql => mysql::Session::turn_away(&mut out),
+    }
+    let _ = stream.set_nonblocking(true);
+    // Unread bytes would turn the close into a reset, and that would overtake the answer.
+    let _ = io::Read::read(&mut stream, &mut [0; 4096]);
+    let _ = io::Write::write(&mut stream, &out);
+}
+
 /// What the settings call these fields.
 fn judge(names: &Names, fields: &fields::Fields) -> Result<(ClassId, Option<TenantId>), &'static str> {
     let class = names.classes.iter().position(|c| *c == fields.class).ok_or("unknown class")?;
@@ -102,8 +117,7 @@
             let listener = if front == Front::Pg { &self.pg } else { &self.mysql };
             let Some(listener) = listener else { return };
             match listener.accept() {
-                // One too many is closed at once: it has been told nothing, so it lost nothing.
-                Ok((stream, _)) if self.clients >= self.most_clients() => drop(stream),
+                Ok((stream, _)) if self.clients >= self.most_clients() => turn_away(stream, front),
                 Ok((stream, _)) => {
                     let at = self.place();
                     let ahead = pg::MAX_MESSAGE.max(MAX_PACKET) + 1024;
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -18,6 +18,9 @@
 /// a retry then was a second copy; so this has a second and more to spare.
 pub const UNASKED_US: u64 = 3_500_000;
 
+/// How long an answer that no longer matters is waited for, to keep its connection: asks hang for 250 ms.
+const STRAY_US: u64 = 1_000_000;
+
 /// Which attempt.
 pub type AttemptId = (RequestId, u32);
 
@@ -54,7 +57,9 @@
     /// The call that gives an attempt up.
     Delete(AttemptId),
     /// An answer that no longer matters.
-    Stray,
+    Stray {
+        since_us: u64,
+    },
 }
 
 enum Wire {
@@ -98,8 +103,22 @@
     course: Course,
     ticket: String,
     last_ask_us: u64,
+    /// Its MySQL connection's number at the engine, noted when it is given up: by the time the engine is told,
+    /// that connection's place may be another's.
+    thread: u32,
     /// It was given up and the engine is being told.
     pub stopping: bool,
+    /// Its connection broke and it is asked for over another.
+    resumed: bool,
+    /// How it ends when it lapses.
+    pub lapses_as: Outcome,
+}
+
+impl Attempt {
+    /// When it is over for want of asking, if it is no longer asked for.
+    pub fn lapse_us(&self) -> Option<u64> {
+        self.stopping.then_some(self.last_ask_us + UNASKED_US)
+    }
 }
 
 impl Server {
@@ -167,7 +186,6 @@
         priority: u8,
         until_us: u64,
     ) {
-        self.counters.sent += 1;
         let Some(request) = self.requests.get(&id.0) else { return self.never_sent(id, Outcome::Void) };
         let max_ms = (until_us.saturating_sub(self.now_us) / 1000).max(1);
         let class = self.names.classes[request.class.0].as_str();
@@ -193,7 +211,17 @@
         match self.link(engine, Job::Attempt(id), tongue, prepared.as_deref()) {
             Ok(link) => {
                 let last_ask_us = self.now_us;
-                let attempt = Attempt { engine, link, course, ticket, last_ask_us, stopping: false };
+                let attempt = Attempt {
+                    engine,
+                    link,
+                    course,
+                    ticket,
+                    last_ask_us,
+                    thread: 0,
+                    stopping: false,
+                    resumed: false,
+                    lapses_as: Outcome::Withdrawn,
+                };
                 self.attempts.insert(id, attempt);
                 self.post_if_up(link);
             }
@@ -215,14 +243,10 @@
         tongue: Tongue,
         prepared: Option<&[u8]>,
     ) -> Result<usize, Outcome> {
-        let most = self.most_engine_conns();
         let Some(e) = self.engines.get_mut(&engine) else { return Err(Outcome::Void) };
         if matches!(job, Job::Attempt(_)) && e.state != EngineState::Ready {
             return Err(Outcome::Void);
         }
-        let Some(address) = (if tongue == Tongue::Http { Some(e.address) } else { e.mysql }) else {
-            return Err(Outcome::Void);
-        };
         let idle = &mut e.idle[tongue as usize];
         let peers = &self.peers;
         let has = |at: &usize| {
@@ -237,7 +261,16 @@
             }
             return Ok(at);
         }
-        if self.engine_conns >= most && !self.close_an_idle_link() {
+        self.connect(engine, job, tongue)
+    }
+
+    /// Opens a connection to an engine, within the budget.
+    fn connect(&mut self, engine: EngineId, job: Job, tongue: Tongue) -> Result<usize, Outcome> {
+        let Some(e) = self.engines.get(&engine) else { return Err(Outcome::Void) };
+        let Some(address) = (if tongue == Tongue::Http { Some(e.address) } else { e.mysql }) else {
+            return Err(Outcome::Void);
+        };
+        if self.engine_conns >= self.most_engine_conns() && !self.close_an_idle_link() {
             return Err(Outcome::Void);
         }
         let wire = match (tongue, &self.config.mysql) {
@@ -271,7 +304,8 @@
         true
     }
 
-    /// Closes connections that were idle for so long that the engine may close them any moment: a start
+    /// Closes connections whose answers don't come, as those of a machine that has vanished, which would else
+    /// hold descriptors for good; and those that were idle for so long that the engine may close them any moment: a start
     /// written to one that is being closed could not be told from one that ran.
     pub(super) fn sweep(&mut self) {
         let most = self.config.keepalive_us * 6 / 10;
@@ -290,6 +324,14 @@
                 keep
             });
         }
+        let attempts = &self.attempts;
+        let deserted = |p: &super::Peer| match &p.role {
+            Role::Engine(Link { job: Job::Stray { since_us }, .. }) => now_us - since_us > STRAY_US,
+            Role::Engine(Link { job: Job::Delete(id), .. }) => !attempts.contains_key(id),
+            _ => false,
+        };
+        let peers = self.peers.iter().enumerate();
+        old.extend(peers.filter(|(_, p)| p.as_ref().is_some_and(deserted)).map(|(at, _)| at));
         for at in old {
             self.close(at);
         }
@@ -328,12 +370,21 @@
         match link.job {
             Job::Attempt(id) => {
                 let ready = self.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready);
+                let Some(attempt) = self.attempts.get_mut(&id) else { return };
+                if attempt.resumed {
+                    // It was sent long ago; news of it may be asked for wherever the engine stands.
+                    if let Course::Http { exchange, .. } = &attempt.course {
+                        attempt.last_ask_us = now_us;
+                        exchange.ask_again(out);
+                    }
+                    return;
+                }
                 if !ready {
                     self.release(at);
                     return self.end_attempt(id, Outcome::Void, None);
                 }
-                let Some(attempt) = self.attempts.get_mut(&id) else { return };
                 attempt.last_ask_us = now_us;
+                self.counters.sent += 1;
                 tracing::debug!(ticket = attempt.ticket, number = id.1, engine = engine.0, now_us, "sent");
                 match (&mut attempt.course, &mut link.wire) {
                     (Course::Http { start, .. }, Wire::Http) => {
@@ -349,18 +400,14 @@
             }
             Job::Delete(id) => {
                 let Some(attempt) = self.attempts.get(&id) else { return self.release(at) };
-                let (ticket, other) = (attempt.ticket.clone(), attempt.link);
-                let thread = match self.peers.get(other).and_then(Option::as_ref).map(|p| &p.role) {
-                    Some(Role::Engine(Link { wire: Wire::MySql(s), .. })) => s.thread,
-                    _ => 0,
-                };
+                let (ticket, thread) = (attempt.ticket.clone(), attempt.thread);
                 let Some(super::Peer { conn, role: Role::Engine(link), .. }) = self.peer(at) else { return };
                 match &mut link.wire {
                     Wire::Http => http::delete(&ticket, &mut conn.output),
                     Wire::MySql(session) => session.kill(thread, &mut conn.output),
                 }
             }
-            Job::Idle { .. } | Job::Stray => {}
+            Job::Idle { .. } | Job::Stray { .. } => {}
         }
     }
 
@@ -430,7 +477,7 @@
         match link.job {
             // Nothing was asked here.
             Job::Idle { .. } => self.engine_lost(at),
-            Job::Stray => self.release_or_close(at, response.close),
+            Job::Stray { .. } => self.release_or_close(at, response.close),
             Job::Delete(id) => {
                 self.release_or_close(at, response.close);
                 // The call has come whole: the attempt is over.
@@ -443,7 +490,7 @@
                 let Course::Http { exchange, .. } = &mut attempt.course else { return };
                 let report = response.report;
                 if attempt.stopping && response.status == 202 {
-                    link.job = Job::Stray;
+                    link.job = Job::Stray { since_us: now_us };
                     return self.release_or_close(at, response.close);
                 }
                 match exchange.on_response(&mut response, &mut peer.conn.output) {
@@ -476,7 +523,7 @@
         let (job, engine) = (link.job, link.engine);
         match (event, job) {
             (mysql::Event::Up, Job::Attempt(_) | Job::Delete(_)) => self.post_if_up(at),
-            (mysql::Event::Up, Job::Idle { .. } | Job::Stray) => self.release(at),
+            (mysql::Event::Up, Job::Idle { .. } | Job::Stray { .. }) => self.release(at),
             (mysql::Event::Prepared, Job::Attempt(id)) => {
                 if !self.may_send_to(engine) {
                     // It was prepared there and nothing more: it never ran.
@@ -510,7 +557,7 @@
                 self.release(at);
                 self.end_attempt(id, Outcome::Withdrawn, None);
             }
-            (mysql::Event::Done(_) | mysql::Event::Failed(_), Job::Stray) => self.release(at),
+            (mysql::Event::Done(_) | mysql::Event::Failed(_), Job::Stray { .. }) => self.release(at),
             _ => {
                 conn.input.clear();
                 self.engine_lost(at);
@@ -528,10 +575,11 @@
 
     /// The attempt is over; the core is told how.
     pub(super) fn end_attempt(&mut self, id: AttemptId, outcome: Outcome, report: Option<Report>) {
+        let now_us = self.now_us;
         let Some(attempt) = self.attempts.remove(&id) else { return };
         if let Some(super::Peer { role: Role::Engine(link), .. }) = self.peer(attempt.link) {
             if link.job == Job::Attempt(id) {
-                link.job = Job::Stray;
+                link.job = Job::Stray { since_us: now_us };
                 // A MySQL connection that was ended for its work is of no more use.
                 if link.tongue() == Tongue::MySql {
                     self.close(attempt.link);
@@ -560,8 +608,18 @@
         }
     }
 
-    /// A connection to an engine broke, or did not come up in time.
+    /// A connection to an engine broke, or was turned away.
     pub(super) fn engine_lost(&mut self, at: usize) {
+        let connecting = self.peer(at).is_some_and(|p| p.conn.phase == Phase::Connecting);
+        self.engine_gone(at, connecting);
+    }
+
+    /// A connection to an engine did not come up in time.
+    pub(super) fn engine_late(&mut self, at: usize) {
+        self.engine_gone(at, false);
+    }
+
+    fn engine_gone(&mut self, at: usize, turned_away: bool) {
         let Some(Role::Engine(link)) = self.close(at) else { return };
         match link.job {
             Job::Idle { .. } => {
@@ -570,38 +628,77 @@
                 }
             }
             Job::Attempt(id) => {
-                let stopping = self.attempts.get(&id).is_some_and(|a| a.stopping);
+                let Some(attempt) = self.attempts.get(&id) else { return };
                 if self.is_unsent(id, &link.wire) {
                     self.end_attempt(id, Outcome::Unreachable, None);
-                } else if !stopping {
-                    self.end_attempt(id, Outcome::Broken, None);
+                } else if !attempt.stopping {
+                    self.resume(id, link.tongue(), turned_away);
+                }
+            }
+            // No process is there that could run it. Else it is not known whether the engine heard the call,
+            // and the attempt lapses by itself.
+            Job::Delete(id) if turned_away => self.end_attempt(id, Outcome::Withdrawn, None),
+            Job::Delete(_) | Job::Stray { .. } => {}
+        }
+    }
+
+    /// An attempt's connection broke. A query belongs to no connection: where its engine still lives, it runs
+    /// on and another copy elsewhere would be a second one. So it is asked for once more over a new one. That
+    /// is refused where the process has died, and then the attempt is over; where nothing comes at all it
+    /// lapses.
+    fn resume(&mut self, id: AttemptId, tongue: Tongue, refused: bool) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        if tongue == Tongue::MySql || (attempt.resumed && refused) {
+            return self.end_attempt(id, Outcome::Broken, None);
+        }
+        let engine = attempt.engine;
+        if !attempt.resumed {
+            attempt.resumed = true;
+            match self.connect(engine, Job::Attempt(id), Tongue::Http) {
+                Ok(at) => {
+                    if let Some(attempt) = self.attempts.get_mut(&id) {
+                        attempt.link = at;
+                    }
+                    return self.post_if_up(at);
                 }
+                Err(Outcome::Unreachable) => return self.end_attempt(id, Outcome::Broken, None),
+                Err(_) => {}
             }
-            // Whether the engine heard it is not known; the attempt lapses by itself.
-            Job::Delete(_) | Job::Stray => {}
         }
+        self.lapse(id, Outcome::Broken);
+    }
+
+    /// The attempt ends by itself when its engine has not been asked for it for long enough.
+    fn lapse(&mut self, id: AttemptId, outcome: Outcome) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        (attempt.stopping, attempt.lapses_as) = (true, outcome);
+        self.alarms.push(Reverse((attempt.last_ask_us + UNASKED_US, Alarm::Lapse(id.0, id.1))));
     }
 
     /// Gives an attempt up: at once if it was never sent, else when the engine has been told.
     pub(super) fn stop(&mut self, id: AttemptId) {
         let Some((engine, link)) = self.attempts.get(&id).map(|a| (a.engine, a.link)) else { return };
         self.counters.stopped += 1;
-        let mut tongue = Tongue::Http;
+        let (mut tongue, mut thread) = (Tongue::Http, 0);
         if let Some(super::Peer { role: Role::Engine(l), .. }) = self.peers.get(link).and_then(Option::as_ref)
         {
             tongue = l.tongue();
+            if let Wire::MySql(session) = &l.wire {
+                thread = session.thread;
+            }
             if self.is_unsent(id, &l.wire) {
                 self.close(link);
                 return self.end_attempt(id, Outcome::Void, None);
             }
         }
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        attempt.stopping = true;
+        attempt.thread = thread;
         tracing::debug!(ticket = attempt.ticket, number = id.1, now_us = self.now_us, "given up");
-        let lapse = attempt.last_ask_us + UNASKED_US;
-        self.alarms.push(Reverse((lapse.max(self.now_us), Alarm::Lapse(id.0, id.1))));
-        if let Ok(at) = self.link(engine, Job::Delete(id), tongue, None) {
-            self.post_if_up(at);
+        self.lapse(id, Outcome::Withdrawn);
+        match self.link(engine, Job::Delete(id), tongue, None) {
+            Ok(at) => self.post_if_up(at),
+            Err(Outcome::Unreachable) => self.end_attempt(id, Outcome::Withdrawn, None),
+            Err(_) => {}
         }
     }
 
@@ -615,8 +712,9 @@
         // Only over an idle connection: a new one for each would cost more than the change is worth.
         let idle = self.engines.get_mut(&engine).and_then(|e| e.idle[Tongue::Http as usize].pop());
         let Some(at) = idle else { return };
+        let now_us = self.now_us;
         if let Some(super::Peer { conn, role: Role::Engine(link), .. }) = self.peer(at) {
-            link.job = Job::Stray;
+            link.job = Job::Stray { since_us: now_us };
             http::put(&ticket, priority, &mut conn.output);
         }
         self.dirty.push(at);
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -266,13 +266,18 @@
                         _ => p.conn.phase == Phase::Connecting,
                     };
                     let late = self.peer(at).is_some_and(|p| p.serial == serial && coming(p));
-                    if late {
-                        self.lost(at);
+                    match self.peer(at).map(|p| &p.role) {
+                        Some(Role::Engine(_)) if late => self.engine_late(at),
+                        _ if late => self.lost(at),
+                        _ => {}
                     }
                 }
                 Alarm::Lapse(request, attempt) => {
-                    if self.attempts.get(&(request, attempt)).is_some_and(|a| a.stopping) {
-                        self.end_attempt((request, attempt), Outcome::Withdrawn, None);
+                    let id = (request, attempt);
+                    match self.attempts.get(&id).map(|a| (a.lapse_us(), a.lapses_as)) {
+                        Some((Some(at), outcome)) if at <= self.now_us => self.end_attempt(id, outcome, None),
+                        Some((Some(at), _)) => self.alarms.push(Reverse((at, alarm))),
+                        _ => {}
                     }
                 }
                 Alarm::Sweep => {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What the engines of a test saw, all together.
 #[derive(Clone, Default)]
@@ -52,18 +52,16 @@
     pub seen: Seen,
     pub dead: Arc<AtomicBool>,
     work_ms: Arc<AtomicU64>,
-    queries: Arc<Mutex<HashMap<String, std::time::Instant>>>,
+    queries: Arc<Mutex<HashMap<String, Instant>>>,
 }
 
 impl Host {
     /// Works for as long as a statement takes; false if the engine died meanwhile.
     pub fn work(&self) -> bool {
-        let ms = self.work_ms.load(Ordering::SeqCst);
-        for _ in 0..ms {
-            thread::sleep(Duration::from_millis(1));
-            if self.dead.load(Ordering::SeqCst) {
-                return false;
-            }
+        let done = Instant::now() + Duration::from_millis(self.work_ms.load(Ordering::SeqCst));
+        while !self.dead.load(Ordering::SeqCst) && Instant::now() < done {
+            let left = done.saturating_duration_since(Instant::now());
+            thread::sleep(left.min(Duration::from_millis(10)));
         }
         !self.dead.load(Ordering::SeqCst)
     }
@@ -106,15 +104,77 @@
         self.work_ms.store(ms, Ordering::SeqCst);
     }
 
+    /// Its entry in the list.
+    pub fn entry(&self, status: &str) -> String {
+        format!(
+            "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"z\",\"type\":\"k\",\"group\":0,\"status\":\"{status}\",\"weight\":1,\"since_ms\":0}}",
+            self.name, self.http
+        )
+    }
+
+    /// Breaks every connection; the process and what it runs live on.
+    pub fn cut(&self) {
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     pub fn kill(&self) {
         self.dead.store(true, Ordering::SeqCst);
         for address in [self.http, self.mysql] {
             // The listener wakes up, sees that it is dead and closes.
             let _ = TcpStream::connect(address);
         }
-        for stream in self.streams.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        self.cut();
+    }
+}
+
+/// The coordinator: its first stream ends behind the first event, its second falls silent behind the next,
+/// and all later ones have nothing but comments.
+pub struct Coordinator {
+    pub address: SocketAddr,
+    /// The `Last-Event-ID` of each stream so far.
+    pub asked: Arc<Mutex<Vec<String>>>,
+}
+
+impl Coordinator {
+    /// `events` are numbered from 2.
+    pub fn start(events: [String; 2]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let asked = Arc::new(Mutex::new(Vec::new()));
+        let seen = asked.clone();
+        thread::spawn(move || {
+            for (n, mut stream) in listener.incoming().flatten().enumerate() {
+                let (seen, event) = (seen.clone(), events.get(n).cloned());
+                thread::spawn(move || {
+                    let lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
+                    for line in lines.take_while(|l| !l.is_empty()) {
+                        if let Some(id) = line.strip_prefix("Last-Event-ID: ") {
+                            seen.lock().unwrap().push(id.to_owned());
+                        }
+                    }
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+                    if let Some(entries) = event {
+                        let id = n + 2;
+                        let data = format!(
+                            "{{\"index\":{id},\"endpoints\":{{\"index\":{id},\"snapshot\":false,\"endpoints\":[{entries}]}}}}"
+                        );
+                        let _ = stream.write_all(format!("id: {id}\ndata: {data}\n\n").as_bytes());
+                    }
+                    match n {
+                        0 => {}
+                        1 => thread::sleep(Duration::from_secs(60)),
+                        _ => {
+                            while stream.write_all(b": here\n\n").is_ok() {
+                                thread::sleep(Duration::from_millis(500));
+                            }
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, asked }
     }
 }
 
@@ -156,7 +216,7 @@
                     "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n".to_owned()
                 } else {
                     let ms = host.work_ms.load(Ordering::SeqCst);
-                    let done = std::time::Instant::now() + Duration::from_millis(ms);
+                    let done = Instant::now() + Duration::from_millis(ms);
                     host.queries.lock().unwrap().insert(headers["x-ticket"].clone(), done);
                     news(&host, &headers["x-ticket"], &first)
                 }
@@ -177,7 +237,7 @@
 fn news(host: &Host, ticket: &str, first: &dyn Fn(&Host) -> String) -> String {
     let done = host.queries.lock().unwrap().get(ticket).copied();
     let Some(done) = done else { return "HTTP/1.1 500 unknown\r\nContent-Length: 0\r\n\r\n".to_owned() };
-    let left = done.saturating_duration_since(std::time::Instant::now());
+    let left = done.saturating_duration_since(Instant::now());
     thread::sleep(left.min(Duration::from_millis(250)));
     if left > Duration::from_millis(250) {
         return "HTTP/1.1 202 later\r\nX-Remark: progress\r\nFigure: 0.5\r\nContent-Length: 0\r\n\r\n"
@@ -200,17 +260,19 @@
 impl Gateway {
     /// Starts it in front of these engines, with the MySQL front if `mysql` says so.
     pub fn start(engines: &[&Engine], mysql: bool) -> Self {
+        Self::start_with(engines, mysql, None)
+    }
+
+    /// The same, with a coordinator that knows more than the start.
+    pub fn start_with(engines: &[&Engine], mysql: bool, coordinator: Option<SocketAddr>) -> Self {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("wrenhatch-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let entry = |e: &&Engine| {
-            format!(
-                "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"z\",\"type\":\"k\",\"group\":0,\"status\":\"Ready\",\"weight\":1,\"since_ms\":0}}",
-                e.name, e.http
-            )
-        };
-        let list = engines.iter().map(entry).collect::<Vec<_>>().join(",");
-        let config = include_str!("config.json").replace("LIST", &list);
+        let list = engines.iter().map(|e| e.entry("Ready")).collect::<Vec<_>>().join(",");
+        let mut config = include_str!("config.json").replace("LIST", &list);
+        if let Some(address) = coordinator {
+            config = config.replace("\"known\":", &format!("\"coordinator\":\"{address}\",\"known\":"));
+        }
         std::fs::write(folder.join("config.json"), config).unwrap();
         let addresses: Vec<String> =
             engines.iter().map(|e| format!("\"{}\":\"{}\"", e.name, e.mysql)).collect();
@@ -244,10 +306,20 @@
         Self { child, pg, mysql, folder, log }
     }
 
-    /// Asks it to end; its exit code, and whether its last words hold the counters.
-    pub fn end(mut self) -> (Option<i32>, String) {
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Asks it to end; its exit code and its last words.
+    pub fn end(self) -> (Option<i32>, String) {
+        self.terminate();
+        self.wait()
+    }
+
+    /// Waits for its end; its exit code and its last words.
+    pub fn wait(mut self) -> (Option<i32>, String) {
         let code = self.child.wait().unwrap().code();
         thread::sleep(Duration::from_millis(100));
         let log = self.log.lock().unwrap().clone();
--- a/gateway/tests/fronts.rs
+++ b/gateway/tests/fronts.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{Engine, Gateway, Seen, mysql, pg};
+use common::{Coordinator, Engine, Gateway, Seen, mysql, pg};
 
 const ID: &str = "9b1f03aa5c7e2d41";
 
@@ -95,6 +95,85 @@
     assert!(matches!(served, pg::Answer::Rows(_)), "{served:?}");
 }
 
+/// The engine that serves one lookup now.
+fn served_by(client: &mut pg::Client) -> String {
+    match until_served(|| client.query(&text("lookup", ID, 2000)), pg_refused) {
+        pg::Answer::Rows(rows) => rows[0][0].clone(),
+        other => panic!("rows were expected, not {other:?}"),
+    }
+}
+
+#[test]
+fn the_list_is_followed_over_broken_and_silent_streams() {
+    let seen = Seen::default();
+    let (one, two) = (Engine::start("e1", &seen, 1), Engine::start("e2", &seen, 1));
+    let back = format!("{},{}", one.entry("Ready"), two.entry("Gone"));
+    let coordinator = Coordinator::start([one.entry("Terminating"), back]);
+    let gateway = Gateway::start_with(&[&one, &two], false, Some(coordinator.address));
+    let mut client = pg::Client::connect(gateway.pg);
+    // The third stream is opened for the second's silence, behind the last event.
+    let began = Instant::now();
+    while coordinator.asked.lock().unwrap().len() < 3 {
+        assert!(began.elapsed() < Duration::from_secs(60), "{:?}", coordinator.asked);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(*coordinator.asked.lock().unwrap(), ["1", "2", "3"]);
+    for _ in 0..10 {
+        assert_eq!(served_by(&mut client), "e1", "the other has gone");
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_draining_engine() {
+    let seen = Seen::default();
+    let (one, two) = (Engine::start("e1", &seen, 1), Engine::start("e2", &seen, 1));
+    let coordinator = Coordinator::start([one.entry("Terminating"), one.entry("Terminating")]);
+    let gateway = Gateway::start_with(&[&one, &two], false, Some(coordinator.address));
+    let mut client = pg::Client::connect(gateway.pg);
+    // The second stream is opened behind the first event: it has been read.
+    while coordinator.asked.lock().unwrap().len() < 2 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    for _ in 0..20 {
+        assert_eq!(served_by(&mut client), "e2");
+    }
+}
+
+#[test]
+fn a_query_outlives_its_connection_without_a_second_copy() {
+    let seen = Seen::default();
+    let engine = Engine::start("e1", &seen, 600);
+    let gateway = Gateway::start(&[&engine], false);
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("load", ID, 20_000));
+    while seen.count() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    engine.cut();
+    assert!(matches!(client.answer(), pg::Answer::Rows(_)));
+    assert_eq!(seen.engines_of(ID), ["e1"]);
+}
+
+#[test]
+fn sigterm_finishes_what_is_open_and_takes_a_little_more() {
+    let seen = Seen::default();
+    let engine = Engine::start("e1", &seen, 1500);
+    let gateway = Gateway::start(&[&engine], false);
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("report", ID, 20_000));
+    while seen.count() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    gateway.terminate();
+    let mut late = pg::Client::connect(gateway.pg);
+    late.send(&text("report", "00000000000000cc", 20_000));
+    assert!(matches!(client.answer(), pg::Answer::Rows(_)));
+    assert!(matches!(late.answer(), pg::Answer::Rows(_)));
+    let (exit, log) = gateway.wait();
+    assert_eq!(exit, Some(0));
+    assert!(log.contains("taken=2") && log.contains("served=2"), "{log}");
+}
+
 #[test]
 fn mysql_clients_run_text_and_prepared_statements() {
     let seen = Seen::default();
