End requests whose attempt may run on unheard instead of sending them elsewhere

So an attempt that reaches a silent engine stays out for as long as the silence lasts, and no waiting time makes a retry safe. Ruled out: a DELETE that overtook its start and connections that broke (no such ends in the trace). At fault: UNASKED_US and Alarm::Lapse.

Now nothing follows such an attempt. 0.5 s after it was given up without a word (engines stand still for 370 ms at times) its request is refused where that is harmless, else failed.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -39,6 +39,8 @@
     Asked(RequestId, Ask),
     /// An attempt has ended.
     Ended(RequestId, u32, Outcome, Option<Report>),
+    /// Nothing more will be heard of an attempt; it may run on.
+    Lost(RequestId, u32),
     /// News of an attempt that is out.
     Noted(RequestId, u32, Note),
     /// The client has left; no answer is owed.
@@ -209,6 +211,7 @@
             Input::Ended(id, attempt, outcome, report) => {
                 self.ended(now_us, id, attempt, outcome, report, commands);
             }
+            Input::Lost(id, attempt) => self.lost(now_us, id, attempt, commands),
             Input::Noted(request, attempt, note) => {
                 if self.out.contains_key(&(request, attempt)) {
                     self.events.push_back(Event::Noted { request, attempt, note });
@@ -255,6 +258,27 @@
         });
     }
 
+    /// The attempt may run on for as long as its engine is silent, and a retry would be a second one beside
+    /// it: on the bench a retry 3.5 s after the last word of such an engine still was. So the request ends
+    /// here and now; whoever may ask again does so with a new one.
+    fn lost(&mut self, now_us: u64, id: RequestId, attempt: u32, commands: &mut Vec<Command>) {
+        let Some(out) = self.out.remove(&(id, attempt)) else { return };
+        if let Some(open) = self.open.get_mut(&id) {
+            open.may_have_run = true;
+        }
+        self.answer_unserved(id, None, true, commands);
+        self.events.push_back(Event::Ended {
+            request: id,
+            attempt,
+            engine: out.engine,
+            outcome: Outcome::TimedOut,
+            elapsed: seconds(now_us.saturating_sub(out.sent_us)),
+            settled: true,
+            cost: None,
+            report: None,
+        });
+    }
+
     fn ring(&mut self, now_us: u64, alarm: Alarm, commands: &mut Vec<Command>) {
         match alarm {
             Alarm::Module(token) => self.events.push_back(Event::Timer(token)),
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -123,6 +123,19 @@
     }
 }
 
+/// Guards against the second copies of fleet-1: an engine fell silent, a retry met the attempt still out.
+#[test]
+fn an_attempt_that_may_run_on_unheard_is_never_followed_by_another() {
+    for (class, answer) in
+        [(LOOKUP, Command::Refuse(RequestId(1), None)), (LOAD, Command::Fail(RequestId(1)))]
+    {
+        let mut b = Bench::new();
+        let (id, ..) = started(&b.ask(1, class, 20 * SECOND)).unwrap();
+        assert_eq!(b.turn(vec![Input::Lost(id, 0)]), [answer]);
+        assert_eq!(b.pass(30 * SECOND), [], "that was all");
+    }
+}
+
 #[test]
 fn nothing_is_sent_to_an_engine_that_drains_or_has_gone() {
     let mut b = Bench::new();
@@ -154,7 +167,7 @@
         let mut out: BTreeMap<RequestId, u32> = BTreeMap::new();
         let mut tainted: Vec<RequestId> = Vec::new();
         let mut answers: BTreeMap<RequestId, u64> = BTreeMap::new();
-        let mut left = Vec::new();
+        let (mut left, mut lost) = (Vec::new(), Vec::new());
         let mut next = 1;
         for (what, which, span) in steps.into_iter().chain([(9, 0, 0)]) {
             let pick = out.iter().nth(usize::from(which) % out.len().max(1)).map(|(id, n)| (*id, *n));
@@ -167,6 +180,12 @@
                     b.ask(next - 1, class, wait)
                 }
                 3..=5 => match pick {
+                    Some((id, attempt)) if which % 8 == 7 => {
+                        out.remove(&id);
+                        tainted.push(id);
+                        lost.push(id);
+                        b.turn(vec![Input::Lost(id, attempt)])
+                    }
                     Some((id, attempt)) => {
                         let outcomes = [Outcome::Success, Outcome::Failure, Outcome::Overloaded,
                             Outcome::Unreachable, Outcome::Broken, Outcome::Withdrawn, Outcome::Void];
@@ -198,7 +217,7 @@
                 match c {
                     Command::Start { request, attempt, .. } => {
                         let load = deadlines[request].0 == LOAD;
-                        if out.insert(*request, *attempt).is_some() || (load && tainted.contains(request)) {
+                        if out.insert(*request, *attempt).is_some() || (load && tainted.contains(request)) || lost.contains(request) {
                             return false;
                         }
                     }
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -13,10 +13,9 @@
 use crate::front::{Payload, Run};
 use crate::mysql::{Param, SqlError};
 
-/// An engine drops a query that nobody asked for in 2 s, counted from the end of an ask, which may hang for
-/// 250 ms. An engine whose answers don't come through still ran such a query 2.39 s after the last ask, and
-/// a retry then was a second copy; so this has a second and more to spare.
-pub const UNASKED_US: u64 = 3_500_000;
+/// How long the end of an attempt that was given up is waited for. Engines stand still for 370 ms at times;
+/// one that has said nothing for longer may have vanished, and what it still runs can't be known.
+const UNHEARD_US: u64 = 500_000;
 
 /// How long an answer that no longer matters is waited for, to keep its connection: asks hang for 250 ms.
 const STRAY_US: u64 = 1_000_000;
@@ -102,7 +101,6 @@
     link: usize,
     course: Course,
     ticket: String,
-    last_ask_us: u64,
     /// Its MySQL connection's number at the engine, noted when it is given up: by the time the engine is told,
     /// that connection's place may be another's.
     thread: u32,
@@ -110,15 +108,6 @@
     pub stopping: bool,
     /// Its connection broke and it is asked for over another.
     resumed: bool,
-    /// How it ends when it lapses.
-    pub lapses_as: Outcome,
-}
-
-impl Attempt {
-    /// When it is over for want of asking, if it is no longer asked for.
-    pub fn lapse_us(&self) -> Option<u64> {
-        self.stopping.then_some(self.last_ask_us + UNASKED_US)
-    }
 }
 
 impl Server {
@@ -210,18 +199,8 @@
         let prepared = matches!(request.run, Run::Execute(_)).then(|| request.statement.clone());
         match self.link(engine, Job::Attempt(id), tongue, prepared.as_deref()) {
             Ok(link) => {
-                let last_ask_us = self.now_us;
-                let attempt = Attempt {
-                    engine,
-                    link,
-                    course,
-                    ticket,
-                    last_ask_us,
-                    thread: 0,
-                    stopping: false,
-                    resumed: false,
-                    lapses_as: Outcome::Withdrawn,
-                };
+                let attempt =
+                    Attempt { engine, link, course, ticket, thread: 0, stopping: false, resumed: false };
                 self.attempts.insert(id, attempt);
                 self.post_if_up(link);
             }
@@ -374,7 +353,6 @@
                 if attempt.resumed {
                     // It was sent long ago; news of it may be asked for wherever the engine stands.
                     if let Course::Http { exchange, .. } = &attempt.course {
-                        attempt.last_ask_us = now_us;
                         exchange.ask_again(out);
                     }
                     return;
@@ -383,7 +361,6 @@
                     self.release(at);
                     return self.end_attempt(id, Outcome::Void, None);
                 }
-                attempt.last_ask_us = now_us;
                 self.counters.sent += 1;
                 tracing::debug!(ticket = attempt.ticket, number = id.1, engine = engine.0, now_us, "sent");
                 match (&mut attempt.course, &mut link.wire) {
@@ -495,7 +472,6 @@
                 }
                 match exchange.on_response(&mut response, &mut peer.conn.output) {
                     http::Step::Asked => {
-                        attempt.last_ask_us = now_us;
                         if let Some(note) = response.note {
                             self.inputs.push(Input::Noted(id.0, id.1, note));
                         }
@@ -575,22 +551,12 @@
 
     /// The attempt is over; the core is told how.
     pub(super) fn end_attempt(&mut self, id: AttemptId, outcome: Outcome, report: Option<Report>) {
-        let now_us = self.now_us;
         let Some(attempt) = self.attempts.remove(&id) else { return };
-        if let Some(super::Peer { role: Role::Engine(link), .. }) = self.peer(attempt.link) {
-            if link.job == Job::Attempt(id) {
-                link.job = Job::Stray { since_us: now_us };
-                // A MySQL connection that was ended for its work is of no more use.
-                if link.tongue() == Tongue::MySql {
-                    self.close(attempt.link);
-                }
-            }
-        }
+        self.desert(attempt.link, id);
         tracing::debug!(
             ticket = attempt.ticket,
             number = id.1,
             engine = attempt.engine.0,
-            asked_us = attempt.last_ask_us,
             now_us = self.now_us,
             ?outcome,
             "ended"
@@ -635,8 +601,7 @@
                     self.resume(id, link.tongue(), turned_away);
                 }
             }
-            // No process is there that could run it. Else it is not known whether the engine heard the call,
-            // and the attempt lapses by itself.
+            // No process is there that could run it. Else it is not known whether the engine heard the call.
             Job::Delete(id) if turned_away => self.end_attempt(id, Outcome::Withdrawn, None),
             Job::Delete(_) | Job::Stray { .. } => {}
         }
@@ -644,8 +609,8 @@
 
     /// An attempt's connection broke. A query belongs to no connection: where its engine still lives, it runs
     /// on and another copy elsewhere would be a second one. So it is asked for once more over a new one. That
-    /// is refused where the process has died, and then the attempt is over; where nothing comes at all it
-    /// lapses.
+    /// is refused where the process has died, and then the attempt is over; where nothing comes at all, it is
+    /// not to be known.
     fn resume(&mut self, id: AttemptId, tongue: Tongue, refused: bool) {
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         if tongue == Tongue::MySql || (attempt.resumed && refused) {
@@ -665,14 +630,29 @@
                 Err(_) => {}
             }
         }
-        self.lapse(id, Outcome::Broken);
+        self.unheard(id);
     }
 
-    /// The attempt ends by itself when its engine has not been asked for it for long enough.
-    fn lapse(&mut self, id: AttemptId, outcome: Outcome) {
-        let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        (attempt.stopping, attempt.lapses_as) = (true, outcome);
-        self.alarms.push(Reverse((attempt.last_ask_us + UNASKED_US, Alarm::Lapse(id.0, id.1))));
+    /// Nothing was heard of the end of an attempt that was given up.
+    pub(super) fn unheard(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        self.desert(attempt.link, id);
+        tracing::debug!(ticket = attempt.ticket, number = id.1, engine = attempt.engine.0, "unheard");
+        self.counters.ended(Outcome::TimedOut);
+        self.inputs.push(Input::Lost(id.0, id.1));
+    }
+
+    /// A connection no longer works for this attempt.
+    fn desert(&mut self, at: usize, id: AttemptId) {
+        let now_us = self.now_us;
+        let Some(super::Peer { role: Role::Engine(link), .. }) = self.peer(at) else { return };
+        if link.job == Job::Attempt(id) {
+            link.job = Job::Stray { since_us: now_us };
+            // A MySQL connection that was ended for its work is of no more use.
+            if link.tongue() == Tongue::MySql {
+                self.close(at);
+            }
+        }
     }
 
     /// Gives an attempt up: at once if it was never sent, else when the engine has been told.
@@ -694,7 +674,8 @@
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         attempt.thread = thread;
         tracing::debug!(ticket = attempt.ticket, number = id.1, now_us = self.now_us, "given up");
-        self.lapse(id, Outcome::Withdrawn);
+        attempt.stopping = true;
+        self.alarms.push(Reverse((self.now_us + UNHEARD_US, Alarm::Unheard(id.0, id.1))));
         match self.link(engine, Job::Delete(id), tongue, None) {
             Ok(at) => self.post_if_up(at),
             Err(Outcome::Unreachable) => self.end_attempt(id, Outcome::Withdrawn, None),
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -82,8 +82,8 @@
 enum Alarm {
     /// A connection must be up by now.
     ConnectBy(usize, u64),
-    /// An attempt that was given up is over by itself by now.
-    Lapse(RequestId, u32),
+    /// The end of an attempt that was given up should have been heard by now.
+    Unheard(RequestId, u32),
     /// Idle connections are looked through.
     Sweep,
     /// The coordinator's stream is looked at.
@@ -272,14 +272,7 @@
                         _ => {}
                     }
                 }
-                Alarm::Lapse(request, attempt) => {
-                    let id = (request, attempt);
-                    match self.attempts.get(&id).map(|a| (a.lapse_us(), a.lapses_as)) {
-                        Some((Some(at), outcome)) if at <= self.now_us => self.end_attempt(id, outcome, None),
-                        Some((Some(at), _)) => self.alarms.push(Reverse((at, alarm))),
-                        _ => {}
-                    }
-                }
+                Alarm::Unheard(request, attempt) => self.unheard((request, attempt)),
                 Alarm::Sweep => {
                     self.sweep();
                     self.alarms.push(Reverse((self.now_us + 500_000, Alarm::Sweep)));
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -43,6 +43,7 @@
     dead: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     work_ms: Arc<AtomicU64>,
+    mute: Arc<AtomicBool>,
 }
 
 /// What a connection of an engine is served with.
@@ -51,6 +52,7 @@
     pub name: String,
     pub seen: Seen,
     pub dead: Arc<AtomicBool>,
+    mute: Arc<AtomicBool>,
     work_ms: Arc<AtomicU64>,
     queries: Arc<Mutex<HashMap<String, Instant>>>,
 }
@@ -71,11 +73,12 @@
     pub fn start(name: &str, seen: &Seen, work_ms: u64) -> Self {
         let dead = Arc::new(AtomicBool::new(false));
         let streams = Arc::new(Mutex::new(Vec::new()));
-        let work_ms = Arc::new(AtomicU64::new(work_ms));
+        let (work_ms, mute) = (Arc::new(AtomicU64::new(work_ms)), Arc::default());
         let host = Host {
             name: name.to_owned(),
             seen: seen.clone(),
             dead: dead.clone(),
+            mute: mute.clone(),
             work_ms: work_ms.clone(),
             queries: Arc::default(),
         };
@@ -97,7 +100,7 @@
             address
         };
         let (http, mysql) = (listen(serve_http), listen(mysql::serve));
-        Self { name: name.to_owned(), http, mysql, dead, streams, work_ms }
+        Self { name: name.to_owned(), http, mysql, dead, streams, work_ms, mute }
     }
 
     pub fn set_work_ms(&self, ms: u64) {
@@ -112,6 +115,11 @@
         )
     }
 
+    /// From now on it hears and runs everything and answers nothing.
+    pub fn mute(&self) {
+        self.mute.store(true, Ordering::SeqCst);
+    }
+
     /// Breaks every connection; the process and what it runs live on.
     pub fn cut(&self) {
         for stream in self.streams.lock().unwrap().drain(..) {
@@ -228,6 +236,9 @@
             "GET" => page("Page-No: 1", &format!("{}\tc\t\n", host.name)),
             _ => "HTTP/1.1 204 No Content\r\n\r\n".to_owned(),
         };
+        if host.mute.load(Ordering::SeqCst) {
+            continue;
+        }
         if host.dead.load(Ordering::SeqCst) || stream.write_all(answer.as_bytes()).is_err() {
             return;
         }
--- a/gateway/tests/fronts.rs
+++ b/gateway/tests/fronts.rs
@@ -154,6 +154,18 @@
     assert_eq!(seen.engines_of(ID), ["e1"]);
 }
 
+#[test]
+fn a_silent_engine_gets_no_second_copy_run_elsewhere() {
+    let seen = Seen::default();
+    let engines = ["e1", "e2"].map(|n| Engine::start(n, &seen, 1));
+    let gateway = Gateway::start(&[&engines[0], &engines[1]], false);
+    engines.iter().for_each(Engine::mute);
+    let mut client = pg::Client::connect(gateway.pg);
+    let answer = client.query(&text("report", ID, 20_000));
+    assert!(pg_refused(&answer), "the client may ask again, long before its time is up: {answer:?}");
+    assert_eq!(seen.engines_of(ID).len(), 1, "what may run on is not sent elsewhere");
+}
+
 #[test]
 fn sigterm_finishes_what_is_open_and_takes_a_little_more() {
     let seen = Seen::default();
