--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -73,7 +73,7 @@
     pub fn start(name: &str, seen: &Seen, work_ms: u64) -> Self {
         let dead = Arc::new(AtomicBool::new(false));
         let streams = Arc::new(Mutex::new(Vec::new()));
-        let (work_ms, mute) = (Arc::new(AtomicU64::new(work_ms)), Arc::default());
+        let (work_ms, mute) = (Arc::new(AtomicU64::new(work_ms)), Arc::<AtomicBool>::default());
         let host = Host {
             name: name.to_owned(),
             seen: seen.clone(),
