Word a cancel as one, bound what peers may send, test codecs against noise

Read against PROTOCOL: a cancel was answered as a failure of the engines (58000), now 57014; a chunk of 2^64 bytes overflowed a sum in engine/http.rs; the coordinator's stream had no bound; the address of an engine that has gone may be another's, which is no longer asked for its queries.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -457,3 +457,54 @@
         streaming: c.get("streaming").flag()?,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn try_read(change: impl Fn(String) -> String) -> Result<Config, ConfigError> {
+        let text = change(include_str!("../tests/common/config.json").replace("LIST", ""));
+        read(&Node::root(&text.parse().unwrap(), "config"))
+    }
+
+    #[test]
+    fn settings_are_read_into_the_module_s_own() {
+        let c = try_read(|t| t).unwrap();
+        assert_eq!(c.names.classes, ["lookup", "report", "load"]);
+        assert_eq!(c.settings.classes[2].effect, Effect::Unsafe);
+        assert!(c.settings.classes[2].load && c.settings.allowed.cancel);
+        assert_eq!((c.settings.when_short, c.sockets, c.connect_us), (WhenShort::Page, 1024, 250_000));
+        assert_eq!((c.known.0, c.known.1.len(), c.known.1[0].full), (1, 1, true));
+    }
+
+    #[test]
+    fn mistakes_are_named() {
+        let error = |from: &str, to: &str| {
+            assert!(include_str!("../tests/common/config.json").contains(from));
+            try_read(|t| t.replace(from, to)).unwrap_err().to_string()
+        };
+        assert_eq!(error("127.0.0.1:0", "here"), "config.listen: an address with a port expected");
+        assert_eq!(error("8c1f30d27a5be964", "x"), "config.seed: 16 hex digits expected");
+        assert_eq!(
+            error("\"aim-s\":2.0", "\"aim-s\":\"2\""),
+            "config.settings.classes[1].aim-s: a number expected"
+        );
+        assert_eq!(
+            error("\"aim-s\":2.0", "\"aim-s\":-2"),
+            "settings: aim of class 1 is -2, which is negative or not a number"
+        );
+    }
+
+    #[test]
+    fn an_operator_s_file_names_tenants_of_the_settings_only() {
+        let names = try_read(|t| t).unwrap().names;
+        let file = |tenant: &str| {
+            let text = format!(
+                "{{\"listen\":\"127.0.0.1:1\",\"users\":{{\"u\":{{\"tenant\":\"{tenant}\"}}}},\"engines\":{{\"e\":\"127.0.0.1:2\"}},\"login\":{{\"user\":\"g\"}}}}"
+            );
+            mysql(&Node::root(&text.parse().unwrap(), "mysql"), &names)
+        };
+        assert_eq!(file("acme").unwrap().directory.look_up("u").unwrap().tenant, "acme");
+        assert!(file("other").unwrap_err().to_string().starts_with("mysql.users.u.tenant: a tenant"));
+    }
+}
--- a/gateway/src/coordinator.rs
+++ b/gateway/src/coordinator.rs
@@ -4,6 +4,9 @@
 
 use crate::config::{ListEvent, list_event_text};
 
+/// An event of hundreds of engines is shorter than this.
+const MAX_EVENT: usize = 4 << 20;
+
 /// Writes the call that opens the stream behind event `last`.
 pub fn open(last: u64, out: &mut Vec<u8>) {
     let _ = write!(
@@ -39,6 +42,9 @@
         if !self.started && !self.head(input)? {
             return Ok(Vec::new());
         }
+        if self.body.len() + input.len() > MAX_EVENT {
+            return Err(StreamError::NoStream);
+        }
         if self.chunked {
             self.chunks(input)?
         } else {
--- a/gateway/src/engine/http.rs
+++ b/gateway/src/engine/http.rs
@@ -98,7 +98,7 @@
             httparse::Status::Complete((start, length)) => (at + start, length as usize),
             httparse::Status::Partial => return Ok(None),
         };
-        if body.len() + length > MAX_ANSWER {
+        if length > MAX_ANSWER || body.len() + length > MAX_ANSWER {
             return Err(NotHttp);
         }
         let Some(chunk) = input.get(start..start + length + 2) else { return Ok(None) };
@@ -273,8 +273,21 @@
 
 #[cfg(test)]
 mod tests {
+    use quickcheck::quickcheck;
+
     use super::*;
 
+    quickcheck! {
+        fn noise_never_panics(noise: Vec<u8>, head: u8) -> bool {
+            let heads = ["", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"];
+            let mut input = heads[usize::from(head) % heads.len()].as_bytes().to_vec();
+            input.extend(noise);
+            let length = input.len();
+            !matches!(read(&mut input, &no_extras()), Ok(Some(_))) || input.len() < length
+        }
+    }
+
     fn no_extras() -> [String; 2] {
         [String::new(), String::new()]
     }
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -40,6 +40,8 @@
     Refused(Option<u64>),
     /// Failed, with no word on its effect.
     Failed(&'a str),
+    /// Ended at the client's own word.
+    Cancelled,
 }
 
 /// A request that a front has read.
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -395,6 +395,9 @@
             Answer::Refused(Some(ms)) => {
                 self.error(&SqlError::new(1041, "53000", format!("refused, w={ms}")), out);
             }
+            Answer::Cancelled => {
+                self.error(&SqlError::new(1317, "70100", "Query execution was interrupted"), out)
+            }
             Answer::Failed(why) => self.error(&SqlError::new(1105, "HY000", why), out),
         }
     }
@@ -425,3 +428,97 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use quickcheck::quickcheck;
+
+    use super::*;
+    use crate::tenants::Account;
+
+    /// A session whose client has logged in without a password, and what it has heard since.
+    fn ready() -> Session {
+        let account = Account { tenant: "acme".to_owned(), password: String::new() };
+        let directory = Rc::new(Directory::new([("unit".to_owned(), account)]));
+        let mut out = Vec::new();
+        let handles = Rc::new(Cell::new(10));
+        let mut session = Session::new(1, [7; 20], directory, handles, &mut out);
+        let mut hello = OFFERED.to_le_bytes().to_vec();
+        hello[0] &= !(caps::CONNECT_WITH_DB as u8);
+        hello.extend([0, 0, 0, 1, 45]);
+        hello.extend([0; 23]);
+        hello.extend(b"unit\0\0mysql_native_password\0");
+        assert_eq!(session.read(&mut packet(&hello, 1), &mut out), None);
+        assert_eq!(session.state, State::Ready);
+        session
+    }
+
+    fn packet(payload: &[u8], mut sequence: u8) -> Vec<u8> {
+        let mut out = Vec::new();
+        mysql::put_packet(&mut out, &mut sequence, payload);
+        out
+    }
+
+    #[test]
+    fn another_method_is_asked_to_switch() {
+        let directory = Rc::new(Directory::default());
+        let mut out = Vec::new();
+        let mut session = Session::new(1, [7; 20], directory, Rc::new(Cell::new(1)), &mut out);
+        let mut hello = (OFFERED & !caps::CONNECT_WITH_DB).to_le_bytes().to_vec();
+        hello.extend([0; 28]);
+        hello.extend(b"unit\0\0caching_sha2_password\0");
+        out.clear();
+        assert_eq!(session.read(&mut packet(&hello, 1), &mut out), None);
+        assert!(out[4] == 0xfe && out[5..].starts_with(b"mysql_native_password\0"));
+        assert_eq!(
+            session.read(&mut packet(b"", 3), &mut out),
+            Some(Want::Close),
+            "and nobody is unknown here"
+        );
+    }
+
+    #[test]
+    fn long_data_spoils_the_next_execution_and_a_reset_mends_it() {
+        let mut session = ready();
+        let mut out = Vec::new();
+        let prepare = packet(b"\x16/* c=load */ INSERT INTO a_1.b VALUES (?)", 0);
+        assert!(matches!(session.read(&mut prepare.clone(), &mut out), Some(Want::Judge(_))));
+        session.judged(&mut out);
+        out.clear();
+        let long = packet(&[0x18, 10, 0, 0, 0, 0, 0, b'x'], 0);
+        assert_eq!(session.read(&mut long.clone(), &mut out), None);
+        assert_eq!(out, [], "long data is never answered");
+        let execute = packet(&[0x17, 10, 0, 0, 0, 8, 1, 0, 0, 0, 1, 1, 1, 6, 0, 0], 0);
+        assert_eq!(session.read(&mut execute.clone(), &mut out), Some(Want::Invalid));
+        session.read(&mut packet(&[0x1a, 10, 0, 0, 0], 0), &mut out);
+        let Some(Want::Answer(demand)) = session.read(&mut execute.clone(), &mut out) else { panic!("none") };
+        let null = Param { kind: 6, name: Vec::new(), value: None };
+        assert_eq!(demand.run, Run::Execute(vec![null]));
+        assert_eq!(demand.fields.tenant.as_deref(), Some("acme"));
+    }
+
+    quickcheck! {
+        /// Whatever comes, each command that is answered is answered once, and nothing panics.
+        fn noise_never_panics(commands: Vec<(u8, Vec<u8>)>) -> bool {
+            let mut session = ready();
+            let kinds = [0x03, 0x0e, 0x16, 0x17, 0x18, 0x19, 0x1a, 0x05];
+            let mut out = Vec::new();
+            for (kind, body) in commands {
+                let payload = [&[kinds[usize::from(kind) % kinds.len()]], body.as_slice()].concat();
+                out.clear();
+                let want = session.read(&mut packet(&payload, 0), &mut out);
+                let silent = matches!(payload[0], 0x18 | 0x19);
+                match want {
+                    Some(Want::Answer(_)) => session.answer(Answer::Refused(None), &mut out),
+                    Some(Want::Judge(_)) => session.judged(&mut out),
+                    Some(Want::Close) => return !out.is_empty(),
+                    _ => {}
+                }
+                if out.is_empty() != silent || session.state != State::Ready {
+                    return false;
+                }
+            }
+            true
+        }
+    }
+}
--- a/gateway/src/front/pg.rs
+++ b/gateway/src/front/pg.rs
@@ -230,6 +230,7 @@
             // Class 53 says that trying again is harmless.
             Answer::Refused(None) => error(out, "ERROR", "53000", "refused"),
             Answer::Refused(Some(ms)) => error(out, "ERROR", "53000", &format!("refused, w={ms}")),
+            Answer::Cancelled => error(out, "ERROR", "57014", "cancelled at the client's word"),
             Answer::Failed(why) => error(out, "ERROR", "58000", why),
         }
         ready(out);
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -238,7 +238,7 @@
             return;
         }
         if let Some(id) = client.open.take() {
-            client.session.answer(Answer::Failed("cancelled by the client"), &mut peer.conn.output);
+            client.session.answer(Answer::Cancelled, &mut peer.conn.output);
             self.left(id);
             self.client_messages(at);
         }
@@ -273,7 +273,7 @@
             Answer::Served(Payload::MySql(ResultSet::Wrong(_))) => &mut self.counters.failed,
             Answer::Served(_) => &mut self.counters.served,
             Answer::Refused(_) => &mut self.counters.refused,
-            Answer::Failed(_) => &mut self.counters.failed,
+            Answer::Failed(_) | Answer::Cancelled => &mut self.counters.failed,
         } += 1;
         let Some(peer) = self.peers.get_mut(request.client).and_then(Option::as_mut) else { return };
         let Role::Client(client) = &mut peer.role else { return };
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -249,6 +249,11 @@
         let Some(address) = (if tongue == Tongue::Http { Some(e.address) } else { e.mysql }) else {
             return Err(Outcome::Void);
         };
+        // What has gone may have left its address to another, which knows nothing of its queries.
+        let taken_over = |o: &Engine| o.state != EngineState::Gone && o.address == e.address;
+        if e.state == EngineState::Gone && self.engines.values().any(taken_over) {
+            return Err(Outcome::Void);
+        }
         if self.engine_conns >= self.most_engine_conns() && !self.close_an_idle_link() {
             return Err(Outcome::Void);
         }
--- a/gateway/src/net/feed.rs
+++ b/gateway/src/net/feed.rs
@@ -36,7 +36,7 @@
         }
         let (None, Some(address)) = (self.feed.at, self.config.coordinator) else { return };
         let at = self.place();
-        match Conn::connect(&self.poll, address, at + FIRST_CONN, 4 << 20) {
+        match Conn::connect(&self.poll, address, at + FIRST_CONN, 1 << 20) {
             Ok(mut conn) => {
                 coordinator::open(self.feed.last, &mut conn.output);
                 self.put(at, conn, Role::Feed(coordinator::Stream::default()));
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Default)]
 pub struct Seen {
     runs: Arc<Mutex<Vec<(String, String)>>>,
+    kills: Arc<Mutex<Vec<u32>>>,
+    connections: Arc<AtomicU64>,
 }
 
 impl Seen {
@@ -30,6 +32,20 @@
         self.runs.lock().unwrap().iter().filter(|(_, t)| t == ticket).map(|(e, _)| e.clone()).collect()
     }
 
+    /// Connections that were to be ended.
+    pub fn kills(&self) -> Vec<u32> {
+        self.kills.lock().unwrap().clone()
+    }
+
+    pub fn killed(&self, connection: u32) {
+        self.kills.lock().unwrap().push(connection);
+    }
+
+    /// The number of a new MySQL connection, from 1.
+    pub fn connection(&self) -> u32 {
+        self.connections.fetch_add(1, Ordering::SeqCst) as u32 + 1
+    }
+
     pub fn count(&self) -> usize {
         self.runs.lock().unwrap().len()
     }
