--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -473,7 +473,7 @@
         assert_eq!(c.names.classes, ["lookup", "report", "load"]);
         assert_eq!(c.settings.classes[2].effect, Effect::Unsafe);
         assert!(c.settings.classes[2].load && c.settings.allowed.cancel);
-        assert_eq!((c.settings.when_short, c.sockets, c.connect_us), (WhenShort::Page, 1024, 250_000));
+        assert_eq!((c.settings.when_short, c.sockets, c.connect_us), (WhenShort::Page, 256, 250_000));
         assert_eq!((c.known.0, c.known.1.len(), c.known.1[0].full), (1, 1, true));
     }
 
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -246,12 +246,26 @@
                 open.may_have_run |= !proves;
             }
         }
+        self.tell_end(now_us, (id, attempt), out, outcome, settled, report);
+    }
+
+    fn tell_end(
+        &mut self,
+        now_us: u64,
+        (request, attempt): (RequestId, u32),
+        out: Out,
+        outcome: Outcome,
+        settled: bool,
+        report: Option<Report>,
+    ) {
+        let elapsed = seconds(now_us.saturating_sub(out.sent_us));
+        let engine = out.engine;
         self.events.push_back(Event::Ended {
-            request: id,
+            request,
             attempt,
-            engine: out.engine,
+            engine,
             outcome,
-            elapsed: seconds(now_us.saturating_sub(out.sent_us)),
+            elapsed,
             settled,
             cost: None,
             report,
@@ -267,16 +281,7 @@
             open.may_have_run = true;
         }
         self.answer_unserved(id, None, true, commands);
-        self.events.push_back(Event::Ended {
-            request: id,
-            attempt,
-            engine: out.engine,
-            outcome: Outcome::TimedOut,
-            elapsed: seconds(now_us.saturating_sub(out.sent_us)),
-            settled: true,
-            cost: None,
-            report: None,
-        });
+        self.tell_end(now_us, (id, attempt), out, Outcome::TimedOut, true, None);
     }
 
     fn ring(&mut self, now_us: u64, alarm: Alarm, commands: &mut Vec<Command>) {
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -34,13 +34,13 @@
     failed,
     /// Requests whose client left first.
     left,
-    /// Attempts handed to an engine link.
+    /// Attempts written to an engine.
     sent,
     /// Attempts taken back.
     stopped,
     /// Connections opened to engines.
     engine_connects,
-    /// Attempts that ended well, turned away, in an error, without a connection, on a broken one, never sent.
+    /// Attempts that ended well.
     ended_success,
     /// Turned away by a full engine.
     ended_overloaded,
@@ -52,7 +52,7 @@
     ended_broken,
     /// Taken back.
     ended_withdrawn,
-    /// Timed out.
+    /// Nothing was heard of their end.
     ended_timed_out,
     /// Never sent.
     ended_void,
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -104,6 +104,11 @@
         mysql::put_packet(out, &mut 0, &e.payload());
     }
 
+    /// Whether its client has yet to log in.
+    pub fn is_starting(&self) -> bool {
+        matches!(self.state, State::Greeted | State::Switching(_))
+    }
+
     /// Reads one message; as of the other front.
     pub fn read(&mut self, input: &mut Vec<u8>, out: &mut Vec<u8>) -> Option<Want> {
         loop {
--- a/gateway/src/front/pg.rs
+++ b/gateway/src/front/pg.rs
@@ -70,6 +70,11 @@
         error(out, "FATAL", "53300", "too many connections");
     }
 
+    /// Whether its client has yet to start it.
+    pub fn is_starting(&self) -> bool {
+        self.state == State::StartUp
+    }
+
     /// Whether a request is open here.
     pub fn is_busy(&self) -> bool {
         self.state == State::Busy
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,17 +1,23 @@
 //! Clients' side of the network: accepting, reading, answering.
 
+use std::cmp::Reverse;
 use std::io::{self, ErrorKind};
 use std::net::TcpStream;
 
 use notchridge::interface::*;
 
 use super::conn::{Conn, Phase, ReadEnd};
-use super::{FIRST_CONN, OWN_DESCRIPTORS, Request, Role, Server};
+use super::{Alarm, FIRST_CONN, OWN_DESCRIPTORS, Request, Role, Server};
 use crate::config::Names;
 use crate::core::{Ask, Command, Input};
 use crate::front::{Answer, Demand, Payload, Want, fields, mysql, pg};
 use crate::mysql::{MAX_PACKET, ResultSet};
 
+/// How long a client may take to start its session.
+const START_US: u64 = 10_000_000;
+/// How long the last bytes to a client may take.
+const CLOSE_US: u64 = 5_000_000;
+
 /// A session of either front.
 enum Session {
     Pg(pg::Session),
@@ -26,6 +32,13 @@
         }
     }
 
+    fn is_starting(&self) -> bool {
+        match self {
+            Session::Pg(s) => s.is_starting(),
+            Session::MySql(s) => s.is_starting(),
+        }
+    }
+
     fn reject(&mut self, text: &str, out: &mut Vec<u8>) {
         match self {
             Session::Pg(s) => s.reject(text, out),
@@ -127,7 +140,8 @@
                             let session = self.session(front, key, &mut conn.output);
                             let client = Client { session, key, open: None };
                             self.dirty.push(at);
-                            self.put(at, conn, Role::Client(client));
+                            let serial = self.put(at, conn, Role::Client(client));
+                            self.alarms.push(Reverse((self.now_us + START_US, Alarm::ClientBy(at, serial))));
                             self.clients += 1;
                             self.counters.clients += 1;
                         }
@@ -176,18 +190,41 @@
                     }
                 }
                 Some(Want::Cancel { session, secret }) => {
-                    conn.phase = Phase::Closing;
+                    self.close_soon(at);
                     self.cancel(session, secret);
                     return;
                 }
                 Some(Want::Close) => {
-                    conn.phase = Phase::Closing;
+                    self.close_soon(at);
                     return;
                 }
             }
         }
     }
 
+    /// Closes a connection once all that was written is out, or when that takes too long.
+    fn close_soon(&mut self, at: usize) {
+        let by = self.now_us + CLOSE_US;
+        if let Some(peer) = self.peer(at) {
+            peer.conn.phase = Phase::Closing;
+            let serial = peer.serial;
+            self.alarms.push(Reverse((by, Alarm::ClientBy(at, serial))));
+        }
+    }
+
+    /// A client that has not even started its session in time, or takes no more bytes, keeps others out.
+    pub(super) fn client_late(&mut self, at: usize, serial: u64) {
+        let late = self.peer(at).is_some_and(|p| match &p.role {
+            Role::Client(c) => {
+                p.serial == serial && (p.conn.phase == Phase::Closing || c.session.is_starting())
+            }
+            _ => false,
+        });
+        if late {
+            self.client_lost(at);
+        }
+    }
+
     /// Takes a request, or turns it down where its fields name nothing that the settings know.
     fn demand(&mut self, at: usize, demand: Demand) {
         let fields = demand.fields;
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -11,12 +11,15 @@
 use crate::core::Input;
 use crate::engine::{http, mysql};
 use crate::front::{Payload, Run};
-use crate::mysql::{Param, SqlError};
+use crate::mysql::{Param, ResultSet, SqlError};
 
 /// How long the end of an attempt that was given up is waited for. Engines stand still for 370 ms at times;
 /// one that has said nothing for longer may have vanished, and what it still runs can't be known.
 const UNHEARD_US: u64 = 500_000;
 
+/// A MySQL engine's error: it knows no such connection.
+const NO_SUCH_THREAD: u16 = 1094;
+
 /// How long an answer that no longer matters is waited for, to keep its connection: asks hang for 250 ms.
 const STRAY_US: u64 = 1_000_000;
 
@@ -502,7 +505,7 @@
     fn mysql_event(&mut self, at: usize, event: mysql::Event) {
         let Some(super::Peer { conn, role: Role::Engine(link), .. }) = self.peer(at) else { return };
         let (job, engine) = (link.job, link.engine);
-        match (event, job) {
+        match (&event, job) {
             (mysql::Event::Up, Job::Attempt(_) | Job::Delete(_)) => self.post_if_up(at),
             (mysql::Event::Up, Job::Idle { .. } | Job::Stray { .. }) => self.release(at),
             (mysql::Event::Prepared, Job::Attempt(id)) => {
@@ -520,7 +523,7 @@
             (mysql::Event::Done(result), Job::Attempt(id)) => {
                 // An error of the statement's own is the engine's last word on it, as rows are: no other
                 // engine would say more, and none of them is ill for it.
-                self.results.insert(id, Payload::MySql(result));
+                self.results.insert(id, Payload::MySql(result.clone()));
                 self.release(at);
                 self.end_attempt(id, Outcome::Success, None);
             }
@@ -531,13 +534,20 @@
             }
             (mysql::Event::TurnedAway(e), Job::Attempt(id)) => {
                 self.close(at);
-                self.end_attempt(id, turned_away(&e), None);
+                self.end_attempt(id, turned_away(e), None);
             }
-            // The other connection was ended, or had ended by itself: the attempt is over.
-            (mysql::Event::Done(_) | mysql::Event::Failed(_), Job::Delete(id)) => {
+            // The other connection was ended, or had ended by itself: the attempt is over. After any other
+            // error, as that this gateway may not end it, nothing is known of it.
+            (mysql::Event::Done(ResultSet::Done { .. }), Job::Delete(id)) => {
                 self.release(at);
                 self.end_attempt(id, Outcome::Withdrawn, None);
             }
+            (mysql::Event::Done(_) | mysql::Event::Failed(_), Job::Delete(id)) => {
+                self.release(at);
+                if let mysql::Event::Failed(SqlError { code: NO_SUCH_THREAD, .. }) = event {
+                    self.end_attempt(id, Outcome::Withdrawn, None);
+                }
+            }
             (mysql::Event::Done(_) | mysql::Event::Failed(_), Job::Stray { .. }) => self.release(at),
             _ => {
                 conn.input.clear();
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -84,6 +84,8 @@
     ConnectBy(usize, u64),
     /// The end of an attempt that was given up should have been heard by now.
     Unheard(RequestId, u32),
+    /// A client's session must have started, or its last bytes be out, by now.
+    ClientBy(usize, u64),
     /// Idle connections are looked through.
     Sweep,
     /// The coordinator's stream is looked at.
@@ -273,6 +275,7 @@
                     }
                 }
                 Alarm::Unheard(request, attempt) => self.unheard((request, attempt)),
+                Alarm::ClientBy(at, serial) => self.client_late(at, serial),
                 Alarm::Sweep => {
                     self.sweep();
                     self.alarms.push(Reverse((self.now_us + 500_000, Alarm::Sweep)));
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -353,6 +353,11 @@
         (code, log)
     }
 
+    /// The clients that it holds at once with the 256 descriptors of its configuration.
+    pub fn most_clients(&self) -> usize {
+        256 / 3 + 16
+    }
+
     pub fn mysql(&self) -> SocketAddr {
         self.mysql.unwrap()
     }
--- a/gateway/tests/common/pg.rs
+++ b/gateway/tests/common/pg.rs
@@ -40,6 +40,15 @@
         }
     }
 
+    /// The code with which a connection is turned away.
+    pub fn turned_away(address: SocketAddr) -> String {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        let (kind, body) = Self { stream, key: [0; 8] }.message();
+        assert_eq!(kind, b'E');
+        error(&body).0
+    }
+
     pub fn cancel(address: SocketAddr, key: [u8; 8]) {
         let mut stream = TcpStream::connect(address).unwrap();
         stream.write_all(&[0, 0, 0, 16, 0x04, 0xd2, 0x16, 0x2e]).unwrap();
@@ -92,12 +101,9 @@
                 b'C' => ends.push(Answer::Rows(std::mem::take(&mut rows))),
                 b'I' => ends.push(Answer::Empty),
                 b'E' => {
-                    let field = |kind: u8| {
-                        let f = body.split(|b| *b == 0).find(|f| f.first() == Some(&kind)).unwrap();
-                        String::from_utf8(f[1..].to_vec()).unwrap()
-                    };
-                    ends.push(Answer::Error(field(b'C'), field(b'M')));
-                    if field(b'S') == "FATAL" {
+                    let (code, text, severity) = error(&body);
+                    ends.push(Answer::Error(code, text));
+                    if severity == "FATAL" {
                         break;
                     }
                 }
@@ -109,3 +115,12 @@
         ends.pop().unwrap()
     }
 }
+
+/// Code, text and severity of an error.
+fn error(body: &[u8]) -> (String, String, String) {
+    let field = |kind: u8| {
+        let f = body.split(|b| *b == 0).find(|f| f.first() == Some(&kind)).unwrap();
+        String::from_utf8(f[1..].to_vec()).unwrap()
+    };
+    (field(b'C'), field(b'M'), field(b'S'))
+}
--- a/gateway/tests/fronts.rs
+++ b/gateway/tests/fronts.rs
@@ -66,6 +66,12 @@
     assert_eq!(code(&other.answer()), "54000");
     assert_eq!(client.query(&text("lookup", ID, 2000)), rows(["a", "b", "c"]), "others are unhurt");
 
+    // One that is too many for the descriptors is told so, and that trying again is harmless.
+    let held: Vec<pg::Client> =
+        (0..gateway.most_clients() - 1).map(|_| pg::Client::connect(gateway.pg)).collect();
+    assert_eq!(pg::Client::turned_away(gateway.pg), "53300");
+    drop(held);
+
     let (exit, log) = gateway.end();
     assert_eq!(exit, Some(0));
     assert!(log.contains("served=3") && log.contains("invalid=3"), "{log}");
