Count the 500 to a query that was given up as withdrawn, not as a failure

Traced: 14 of 15 ends in Failure came right after the gateway had given the attempt up. The engine hears DELETE first and answers the ask that hangs with 500, before the 204. At fault: response() in net/engines.rs, which passed that on as Failure, so two withdrawn queries took a healthy engine out of the choice. Ruled out: chance (two runs alike), a slow gateway (90 to 130 us through it, 3% of a core), broken connections (3 at the crash).

Also at fault there, by reading: the load report was taken from the last page, which brings none.

--- a/gateway/src/engine/http.rs
+++ b/gateway/src/engine/http.rs
@@ -194,6 +194,9 @@
     ticket: String,
     pages: Vec<Vec<u8>>,
     page_count: u32,
+    given_up: bool,
+    /// The newest load report that came along: further pages bring none.
+    pub report: Option<Report>,
 }
 
 /// What an answer means for the attempt.
@@ -201,6 +204,8 @@
 pub enum Step {
     /// The next call has been written.
     Asked,
+    /// It goes on, but is asked for no more: it was given up.
+    Quiet,
     /// It is over.
     Ended(Outcome),
 }
@@ -208,7 +213,7 @@
 impl Exchange {
     /// An attempt whose start is being sent.
     pub fn new(ticket: &str) -> Self {
-        Self { ticket: ticket.to_owned(), pages: Vec::new(), page_count: 0 }
+        Self { ticket: ticket.to_owned(), pages: Vec::new(), page_count: 0, given_up: false, report: None }
     }
 
     /// Writes the call whose answer was lost once more: for news, or for the page that is next.
@@ -216,10 +221,17 @@
         get(&self.ticket, self.pages.len() as u32, out);
     }
 
+    /// It is being given up: it is asked for no more.
+    pub fn give_up(&mut self) {
+        self.given_up = true;
+    }
+
     /// Takes an answer, writes the next call to `out` if there is one.
     pub fn on_response(&mut self, r: &mut Response, out: &mut Vec<u8>) -> Step {
         let wanted = self.pages.len() as u32;
+        self.report = r.report.or(self.report);
         match r.status {
+            202 if self.given_up => Step::Quiet,
             202 if wanted == 0 => {
                 get(&self.ticket, 0, out);
                 Step::Asked
@@ -242,6 +254,9 @@
             // Only these prove that it never ran; the same status without the mark may hide anything.
             503 if r.shed && wanted == 0 => Step::Ended(Outcome::Overloaded),
             504 if r.shed && wanted == 0 => Step::Ended(Outcome::Void),
+            // The engine heard that it was given up before it answered what was asked last. That it knows the
+            // query no more is the end that was wanted, and no fault of the engine's.
+            _ if self.given_up => Step::Ended(Outcome::Withdrawn),
             _ => Step::Ended(Outcome::Failure),
         }
     }
@@ -350,6 +365,28 @@
         assert_eq!(rows.cells[4].as_deref(), Some(b"".as_slice()));
     }
 
+    #[test]
+    fn a_query_that_was_given_up_is_withdrawn_not_failed() {
+        let mut e = Exchange::new("aa");
+        e.give_up();
+        let mut out = Vec::new();
+        let empty = "Content-Length: 0\r\n\r\n";
+        assert_eq!(e.on_response(&mut answer(&format!("HTTP/1.1 202 x\r\n{empty}")), &mut out), Step::Quiet);
+        assert_eq!(out, [], "it is asked for no more");
+        let gone = answer(&format!("HTTP/1.1 500 x\r\n{empty}"));
+        assert_eq!(e.on_response(&mut gone.clone(), &mut out), Step::Ended(Outcome::Withdrawn));
+    }
+
+    #[test]
+    fn the_report_of_the_first_page_lasts() {
+        let mut e = Exchange::new("aa");
+        let first = "HTTP/1.1 200 OK\r\nPage-Count: 2\r\nX-Meter: queue:2\r\nContent-Length: 2\r\n\r\na\n";
+        e.on_response(&mut answer(first), &mut Vec::new());
+        let second = "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 2\r\n\r\nb\n";
+        assert_eq!(e.on_response(&mut answer(second), &mut Vec::new()), Step::Ended(Outcome::Success));
+        assert_eq!(e.report.and_then(|r| r.queue), Some(2.0));
+    }
+
     #[test]
     fn a_lost_page_is_a_failure() {
         let mut e = Exchange::new("aa");
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -473,11 +473,6 @@
                     return self.release_or_close(at, response.close);
                 };
                 let Course::Http { exchange, .. } = &mut attempt.course else { return };
-                let report = response.report;
-                if attempt.stopping && response.status == 202 {
-                    link.job = Job::Stray { since_us: now_us };
-                    return self.release_or_close(at, response.close);
-                }
                 match exchange.on_response(&mut response, &mut peer.conn.output) {
                     http::Step::Asked => {
                         if let Some(note) = response.note {
@@ -485,7 +480,12 @@
                         }
                         self.dirty.push(at);
                     }
+                    http::Step::Quiet => {
+                        link.job = Job::Stray { since_us: now_us };
+                        self.release_or_close(at, response.close);
+                    }
                     http::Step::Ended(mut outcome) => {
+                        let report = exchange.report;
                         if outcome == Outcome::Success {
                             match exchange.rows() {
                                 Some(rows) => {
@@ -690,6 +690,9 @@
         attempt.thread = thread;
         tracing::debug!(ticket = attempt.ticket, number = id.1, now_us = self.now_us, "given up");
         attempt.stopping = true;
+        if let Course::Http { exchange, .. } = &mut attempt.course {
+            exchange.give_up();
+        }
         self.alarms.push(Reverse((self.now_us + UNHEARD_US, Alarm::Unheard(id.0, id.1))));
         match self.link(engine, Job::Delete(id), tongue, None) {
             Ok(at) => self.post_if_up(at),
