--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -192,14 +192,16 @@
     drive.look();
     for id in 11..=16 {
         assert_eq!(sent_to(&drive.arrive(id, LOOKUP)).unwrap().0, 2);
-        drive.ended(id, 0, 2, Outcome::Success, 0.2);
+        // Some stay out, so that the silent one has the fewest; not so many that the other is in a jam.
+        if id < 14 {
+            drive.ended(id, 0, 2, Outcome::Success, 0.2);
+        }
     }
     drive.now += 1.1;
     let mut trials = Vec::new();
     for id in 21..=26 {
         let (on, _) = sent_to(&drive.arrive(id, LOOKUP)).unwrap();
         trials.push(on);
-        // Kept from a jam, as all but the trial are answered.
         if on == 2 {
             drive.ended(id, 0, 2, Outcome::Success, 0.2);
         }
