--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -13,6 +13,9 @@
 /// needs on its way, and what the request needed on its way here, which no clock of ours has seen.
 const MARGIN_US: u64 = 25_000;
 
+/// Other engines can take a request at once whose engine fell silent; seconds till its client may ask again.
+const COME_BACK: f64 = 0.05;
+
 /// A request as a front hands it over.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
@@ -113,6 +116,8 @@
     module: Gateway,
     effects: Vec<Effect>,
     max_attempts: u32,
+    /// What a client hears whose engine fell silent, in seconds, where clients hear such things.
+    come_back: Option<f64>,
     open: BTreeMap<RequestId, Open>,
     out: BTreeMap<(RequestId, u32), Out>,
     states: BTreeMap<EngineId, EngineState>,
@@ -138,6 +143,10 @@
         Ok(Self {
             effects: settings.classes.iter().map(|c| c.effect).collect(),
             max_attempts: settings.allowed.max_attempts,
+            come_back: settings
+                .allowed
+                .retry_after
+                .then_some(COME_BACK.min(settings.allowed.max_retry_after)),
             module: Gateway::new(settings, seed)?,
             open: BTreeMap::new(),
             out: BTreeMap::new(),
@@ -280,7 +289,7 @@
         if let Some(open) = self.open.get_mut(&id) {
             open.may_have_run = true;
         }
-        self.answer_unserved(id, None, true, commands);
+        self.answer_unserved(id, self.come_back, true, commands);
         self.tell_end(now_us, (id, attempt), out, Outcome::TimedOut, true, None);
     }
 
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -127,7 +127,7 @@
 #[test]
 fn an_attempt_that_may_run_on_unheard_is_never_followed_by_another() {
     for (class, answer) in
-        [(LOOKUP, Command::Refuse(RequestId(1), None)), (LOAD, Command::Fail(RequestId(1)))]
+        [(LOOKUP, Command::Refuse(RequestId(1), Some(50))), (LOAD, Command::Fail(RequestId(1)))]
     {
         let mut b = Bench::new();
         let (id, ..) = started(&b.ask(1, class, 20 * SECOND)).unwrap();
