Leave less of an engine's memory unused where several gateways share it

Each request so given up was logged with the state of all engines: of 300, most found every engine with room under C barred by has_memory (policy.rs) alone, each gateway holding 4 to 8 of its 8 GB while the three together used under half of the engine's 32 GB. Its share was three quarters by the number of gateways, as if all filled theirs at once.

Now one gateway leaves a quarter over, two an eighth, three a twelfth: together never more than there is.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,7 +30,7 @@
 const FULL_REST: f64 = 0.25; // seconds' rest of an engine that turned an attempt away
 // Load reports: fullness is 1 where an engine is full.
 const FULL: f64 = 2.0; // threads a core of a full engine
-const MEMORY: f64 = 0.75; // share of an engine's memory that its queries may need, all gateways together
+const MEMORY: f64 = 0.75; // share of an engine's memory that its queries may need by the books of one gateway
 const SPILLS: f64 = 1.3; // what granted memory counts where more of it means spilling
 const BAR: f64 = 0.8; // fullness over which secondary work is not sent
 const ROOMY: f64 = 0.5; // fullness of all engines together under which C need not bind over time
@@ -935,11 +935,8 @@
             let e = &self.engines[engine];
             let stands = held_on.contains(engine) || job.erred == Some(*engine);
             let (cores, standing) = (e.feedback.cores, STANDS.0 * (e.stuck(now) - STANDS.1).max(0.0));
-            let filled = if dashboard {
-                e.threads / cores + standing
-            } else {
-                e.secondary - e.feedback.threshold + standing * cores
-            };
+            let own = if dashboard { e.threads / cores } else { e.secondary - e.feedback.threshold };
+            let filled = own + standing * if dashboard { 1.0 } else { cores };
             let away = if self.s.zone.is_some_and(|z| z != e.entry.zone) { HOME } else { 0.0 };
             let rank = (
                 stands,
@@ -953,10 +950,12 @@
         best.map(|(_, engine)| engine)
     }
 
-    /// Whether secondary work finds its memory, as far as this gateway's share of the engine goes: beyond
-    /// what there is all that runs there slows down. One too large for any share goes where it is alone.
+    /// Whether secondary work finds its memory, as far as this gateway's share of the engine goes: beyond what
+    /// there is all slows down. The more gateways, the less is left over: they rarely fill their shares all at
+    /// once. Work too large for any share goes where it is alone.
     fn has_memory(&self, class: ClassId, need_mb: f64, e: &Engine) -> bool {
-        let share = MEMORY * e.memory_mb / f64::from(self.s.gateways);
+        let n = f64::from(self.s.gateways);
+        let share = (1.0 - (1.0 - MEMORY) / n) * e.memory_mb / n;
         self.classes[class.0].dashboard || share <= 0.0 || e.secondary == 0.0 || e.need_mb + need_mb <= share
     }
 
