--- a/src/policy.rs
+++ b/src/policy.rs
@@ -950,9 +950,9 @@
         best.map(|(_, engine)| engine)
     }
 
-    /// Whether secondary work finds its memory, as far as this gateway's share of the engine goes: beyond what
-    /// there is all slows down. The more gateways, the less is left over: they rarely fill their shares all at
-    /// once. Work too large for any share goes where it is alone.
+    /// Whether secondary work finds its memory, as far as this gateway's share of the engine goes: beyond
+    /// what there is all slows down. The more gateways, the less is left over: they rarely fill their
+    /// shares all at once. Work too large for any share goes where it is alone.
     fn has_memory(&self, class: ClassId, need_mb: f64, e: &Engine) -> bool {
         let n = f64::from(self.s.gateways);
         let share = (1.0 - (1.0 - MEMORY) / n) * e.memory_mb / n;
