--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,6 +48,7 @@
 const SIGHT: f64 = 0.25; // seconds for which a probe's report lets secondary work pass
 const PROBES: (f64, usize) = (1.0, 3); // probes earned by a request taken; asked at once for one that waits
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
+const HEAVY: f64 = 30.0; // times the mean estimate that one counts as at most: anyone may claim anything
 
 /// Which classes are dashboards, from settings alone: of the classes that are no loads, those with the
 /// fewest threads, and of these the ones whose aim is within twice the shortest. A class that fills
@@ -524,7 +525,7 @@
         self.pooled.probes = (self.pooled.probes + PROBES.0).min(2.0 * PROBES.1 as f64);
         if let Some(work) = request.estimate {
             let mean = &mut self.classes[request.class.0].work;
-            *mean += NEWEST * (work - *mean);
+            *mean += NEWEST * (work.min(HEAVY * *mean) - *mean);
         }
         if let Some(key) = self.key_of(request) {
             self.keys.entry(key).or_default().order.push_back(request.id);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -706,3 +706,42 @@
         }
     }
 }
+
+/// Anyone may claim any amount of work. Twenty requests later that must neither cut short what runs well, nor let
+/// others be held for as long as they ask.
+#[test]
+fn a_claim_of_endless_work_changes_little_for_others() {
+    let mut s = cancelling();
+    s.allowed.note_period = 0.0;
+    s.classes.iter_mut().for_each(|c| c.aim_stretch = 2.0);
+    let mut drive = Drive::new(s, vec![engine(1)]);
+    let ask = |drive: &mut Drive, id, class, work| {
+        let request = Request { estimate: Some(work), ..drive.request(id, class) };
+        drive.event(&Event::Arrived(request))
+    };
+    for id in 1000..1100 {
+        ask(&mut drive, id, LOOKUP, 0.1);
+        drive.ended(id, 0, 1, Outcome::Success, 0.2);
+    }
+    ask(&mut drive, 2000, LOOKUP, 1e6);
+    drive.ended(2000, 0, 1, Outcome::Failure, 0.0);
+    drive.event(&Event::Aborted(RequestId(2000)));
+    for id in 3000..3020 {
+        ask(&mut drive, id, LOOKUP, 0.1);
+        drive.ended(id, 0, 1, Outcome::Success, 0.2);
+    }
+    // One that takes three times the usual may still be well.
+    ask(&mut drive, 1, LOOKUP, 0.1);
+    drive.now += 0.01;
+    ask(&mut drive, 2, LOOKUP, 0.1);
+    drive.ended(2, 0, 1, Outcome::Success, 0.2);
+    drive.now += 0.5;
+    assert!(cancels(&drive.look()).is_empty(), "held to half of what it should take");
+    drive.ended(1, 0, 1, Outcome::Success, 0.6);
+
+    // Nor is one that finds no engine held for longer than its aim allows.
+    drive.list(ListMode::Delta, vec![EngineEntry { state: EngineState::Draining, ..engine(1) }]);
+    ask(&mut drive, 3, LOOKUP, 0.1);
+    drive.now += 1.0;
+    assert_eq!(answers(&drive.look()), vec![(3, true)]);
+}
