--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use notchridge::interface::*;
 use tinyjson::JsonValue;
 
 use crate::engine::mysql::Login;
-use crate::tenants::{Account, Directory};
+use crate::tenants::Directory;
 
 /// Why the gateway can't start.
 #[derive(Debug, thiserror::Error)]
@@ -43,6 +44,9 @@
     /// The settings make no sense.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
+    /// The operator's file can't be used.
+    #[error(transparent)]
+    Operator(#[from] crate::operator::OperatorError),
 }
 
 /// A JSON value and where it stands, for messages.
@@ -108,15 +112,6 @@
         Ok(list.iter().enumerate().map(node).collect())
     }
 
-    /// The members of an object, by name; none where it is absent.
-    pub fn members(&self) -> Result<Vec<(String, Node<'a>)>, ConfigError> {
-        let Some(value) = self.value else { return Ok(Vec::new()) };
-        let object = value.get::<HashMap<String, JsonValue>>().ok_or_else(|| self.wrong("an object"))?;
-        let mut names: Vec<_> = object.keys().cloned().collect();
-        names.sort();
-        Ok(names.into_iter().map(|n| (n.clone(), self.get(&n))).collect())
-    }
-
     /// A socket address.
     pub fn address(&self) -> Result<SocketAddr, ConfigError> {
         self.text()?.parse().map_err(|_| self.wrong("an address with a port"))
@@ -239,27 +234,49 @@
     pub login: Login,
 }
 
-/// Reads an operator's file; its tenants are those of the settings.
-pub fn mysql(root: &Node<'_>, names: &Names) -> Result<MySql, ConfigError> {
-    let mut accounts = Vec::new();
-    for (user, node) in root.get("users").members()? {
-        let (tenant, password) = (node.get("tenant"), node.get("password").text_or_empty()?);
-        if !names.tenants.contains(&tenant.text()?) {
-            return Err(tenant.wrong("a tenant of the settings"));
+/// What the operator wants of clients' connections.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Clients {
+    /// Sessions that are held at most; without it, what the descriptors allow.
+    pub most: Option<usize>,
+    /// Idle sessions are closed after this, in microseconds.
+    pub idle_limit_us: Option<u64>,
+    /// Connections that the kernel keeps until they are accepted.
+    pub backlog: u32,
+    /// Whether and how the other ends of silent connections are asked for.
+    pub keepalive: Option<Keepalive>,
+    /// How long the reading of sessions may make a turn of the loop, in microseconds.
+    pub turn_us: u64,
+    /// Messages of one session in one turn.
+    pub messages: usize,
+    /// Bytes read from one session in one turn.
+    pub bytes: usize,
+}
+
+/// TCP keepalive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keepalive {
+    /// After so long without a byte the other end is asked for.
+    pub idle: Duration,
+    /// It is asked again after this.
+    pub interval: Duration,
+    /// So often without an answer, and the connection is dead.
+    pub probes: u32,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        let limits = wrenhatch_sessions::governor::Limits::default();
+        Self {
+            most: None,
+            idle_limit_us: None,
+            backlog: 1024,
+            keepalive: None,
+            turn_us: limits.turn_us,
+            messages: limits.messages,
+            bytes: limits.bytes,
         }
-        accounts.push((user, Account { tenant: tenant.text()?, password }));
     }
-    let engines = root.get("engines").members()?;
-    let login = root.get("login");
-    Ok(MySql {
-        listen: root.get("listen").address()?,
-        directory: Rc::new(Directory::new(accounts)),
-        engines: engines
-            .into_iter()
-            .map(|(name, at)| Ok((name, at.address()?)))
-            .collect::<Result<_, ConfigError>>()?,
-        login: Login { user: login.get("user").text()?, password: login.get("password").text_or_empty()? },
-    })
 }
 
 /// All that the gateway is told at its start.
@@ -291,6 +308,8 @@
     pub connect_us: u64,
     /// Open requests permitted.
     pub max_open: usize,
+    /// What the operator wants of clients' connections.
+    pub clients: Clients,
     /// The MySQL front, where an operator wants it.
     pub mysql: Option<MySql>,
 }
@@ -302,8 +321,8 @@
     text.parse().map_err(|source| ConfigError::Json { path: path.to_owned(), source })
 }
 
-/// Reads the configuration that the environment names, and the operator's file for MySQL if one is given.
-pub fn from_environment(mysql_file: Option<&str>) -> Result<Config, ConfigError> {
+/// Reads the configuration that the environment names, and the operator's file if one is given.
+pub fn from_environment(operator: Option<&str>) -> Result<Config, ConfigError> {
     let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset("LB_CONFIG"))?;
     let mut config = from_file(&path)?;
     if let Ok(name) = std::env::var("LB_NAME") {
@@ -314,8 +333,8 @@
         config.listen =
             listen.parse().map_err(|_| ConfigError::Value { path: "LB_LISTEN".to_owned(), wanted })?;
     }
-    if let Some(path) = mysql_file {
-        config.mysql = Some(mysql(&Node::root(&json_file(path)?, path), &config.names)?);
+    if let Some(path) = operator {
+        crate::operator::apply(path, &mut config)?;
     }
     Ok(config)
 }
@@ -351,6 +370,7 @@
         keepalive_us: (allowed.get("keepalive-s").number_or(15.0)? * 1e6) as u64,
         connect_us: (allowed.get("connect-timeout-s").number_or(0.25)? * 1e6) as u64,
         max_open: allowed.get("max-open").number_or(20_000.0)? as usize,
+        clients: Clients::default(),
         mysql: None,
     })
 }
@@ -505,17 +525,4 @@
             "settings: aim of class 1 is -2, which is negative or not a number"
         );
     }
-
-    #[test]
-    fn an_operator_s_file_names_tenants_of_the_settings_only() {
-        let names = try_read(|t| t).unwrap().names;
-        let file = |tenant: &str| {
-            let text = format!(
-                "{{\"listen\":\"127.0.0.1:1\",\"users\":{{\"u\":{{\"tenant\":\"{tenant}\"}}}},\"engines\":{{\"e\":\"127.0.0.1:2\"}},\"login\":{{\"user\":\"g\"}}}}"
-            );
-            mysql(&Node::root(&text.parse().unwrap(), "mysql"), &names)
-        };
-        assert_eq!(file("acme").unwrap().directory.look_up("u").unwrap().tenant, "acme");
-        assert!(file("other").unwrap_err().to_string().starts_with("mysql.users.u.tenant: a tenant"));
-    }
 }
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -3,11 +3,13 @@
 //! It drives the decision module and turns the module's actions into [`Command`]s. It knows no wire: no
 //! bytes, no sockets, no protocol. Time is whole microseconds, handed in once a turn.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use notchridge::Gateway;
 use notchridge::interface::*;
+use wrenhatch_sessions::wheel::{TimerId, Wheel};
+
+use crate::lateness::Lateness;
 
 /// How long before a client's own limit the core answers at the latest, in microseconds: what the answer
 /// needs on its way, and what the request needed on its way here, which no clock of ours has seen.
@@ -91,6 +93,7 @@
 struct Open {
     class: ClassId,
     deadline_us: u64,
+    deadline: TimerId,
     attempts: u32,
     may_have_run: bool,
     memory_mb: f64,
@@ -102,9 +105,10 @@
     engine: EngineId,
     sent_us: u64,
     stopped: bool,
+    timer: Option<TimerId>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Alarm {
     Module(u64),
     Attempt(RequestId, u32),
@@ -121,7 +125,8 @@
     open: BTreeMap<RequestId, Open>,
     out: BTreeMap<(RequestId, u32), Out>,
     states: BTreeMap<EngineId, EngineState>,
-    alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
+    alarms: Wheel<Alarm>,
+    lateness: Lateness,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -151,7 +156,8 @@
             open: BTreeMap::new(),
             out: BTreeMap::new(),
             states: BTreeMap::new(),
-            alarms: BinaryHeap::new(),
+            alarms: Wheel::new(),
+            lateness: Lateness::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
         })
@@ -164,7 +170,17 @@
 
     /// When the next turn is due although nothing comes in.
     pub fn next_alarm_us(&self) -> Option<u64> {
-        self.alarms.peek().map(|Reverse((at, _))| *at)
+        self.alarms.next_us()
+    }
+
+    /// How late its timers have fired.
+    pub fn lateness(&self) -> &Lateness {
+        &self.lateness
+    }
+
+    /// Timers that are armed: one for each open request, one for each attempt with a limit, the module's.
+    pub fn timers(&self) -> usize {
+        self.alarms.len()
     }
 
     /// One turn: all that came in, then the timers that are due, then what follows from them.
@@ -173,11 +189,8 @@
             self.take(now_us, input, commands);
             self.drive(now_us, commands);
         }
-        while let Some(Reverse((at, alarm))) = self.alarms.peek().copied() {
-            if at > now_us {
-                break;
-            }
-            self.alarms.pop();
+        while let Some((due_us, alarm)) = self.alarms.pop(now_us) {
+            self.lateness.note(due_us, now_us);
             self.ring(now_us, alarm, commands);
             self.drive(now_us, commands);
         }
@@ -196,17 +209,18 @@
             }
             Input::Asked(id, ask) => {
                 let deadline_us = ask.deadline_us.saturating_sub(MARGIN_US);
+                // The module plans the end itself; this guards against one that does not.
+                let deadline = self.alarms.arm(deadline_us, Alarm::Deadline(id));
                 let open = Open {
                     class: ask.class,
                     deadline_us,
+                    deadline,
                     attempts: 0,
                     may_have_run: false,
                     memory_mb: 0.0,
                     priority: 1,
                 };
                 self.open.insert(id, open);
-                // The module plans the end itself; this guards against one that does not.
-                self.alarms.push(Reverse((deadline_us, Alarm::Deadline(id))));
                 self.events.push_back(Event::Arrived(Request {
                     id,
                     class: ask.class,
@@ -229,7 +243,7 @@
                 }
             }
             Input::Left(id) => {
-                if self.open.remove(&id).is_some() {
+                if self.close(id).is_some() {
                     self.events.push_back(Event::Aborted(id));
                 }
             }
@@ -245,13 +259,13 @@
         report: Option<Report>,
         commands: &mut Vec<Command>,
     ) {
-        let Some(out) = self.out.remove(&(id, attempt)) else { return };
+        let Some(out) = self.take_back(id, attempt) else { return };
         let proves = matches!(outcome, Outcome::Unreachable | Outcome::Overloaded | Outcome::Void);
         let mut settled = true;
         if let Some(open) = self.open.get_mut(&id) {
             settled = outcome == Outcome::Success;
             if settled {
-                self.open.remove(&id);
+                self.close(id);
                 commands.push(Command::Serve(id, attempt));
             } else {
                 open.may_have_run |= !proves;
@@ -260,6 +274,22 @@
         self.tell_end(now_us, (id, attempt), out, outcome, settled, report);
     }
 
+    /// A request is no longer owed an answer, nor its deadline a timer.
+    fn close(&mut self, id: RequestId) -> Option<Open> {
+        let open = self.open.remove(&id)?;
+        self.alarms.cancel(open.deadline);
+        Some(open)
+    }
+
+    /// An attempt is out no longer.
+    fn take_back(&mut self, id: RequestId, attempt: u32) -> Option<Out> {
+        let out = self.out.remove(&(id, attempt))?;
+        if let Some(timer) = out.timer {
+            self.alarms.cancel(timer);
+        }
+        Some(out)
+    }
+
     fn tell_end(
         &mut self,
         now_us: u64,
@@ -287,7 +317,7 @@
     /// it: on the bench a retry 3.5 s after the last word of such an engine still was. So the request ends
     /// here and now; whoever may ask again does so with a new one.
     fn lost(&mut self, now_us: u64, id: RequestId, attempt: u32, commands: &mut Vec<Command>) {
-        let Some(out) = self.out.remove(&(id, attempt)) else { return };
+        let Some(out) = self.take_back(id, attempt) else { return };
         if let Some(open) = self.open.get_mut(&id) {
             open.may_have_run = true;
         }
@@ -325,7 +355,7 @@
         refuse: bool,
         commands: &mut Vec<Command>,
     ) {
-        let Some(open) = self.open.remove(&id) else { return };
+        let Some(open) = self.close(id) else { return };
         let running = self.out.range((id, 0)..=(id, u32::MAX)).next().is_some();
         let harmless = match self.effects[open.class.0] {
             Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
@@ -372,7 +402,7 @@
             }
             Action::Fail(request) => self.answer_unserved(request, None, false, commands),
             Action::SetTimer { delay, token } => {
-                self.alarms.push(Reverse((now_us + micros(delay), Alarm::Module(token))));
+                self.alarms.arm(now_us + micros(delay), Alarm::Module(token));
             }
             // The platform pushes its list and forbids probes; the module asks for neither there.
             Action::Probe(_) | Action::Subscribe => {}
@@ -393,7 +423,7 @@
         let attempt = open.attempts;
         open.attempts += 1;
         let until_us = timeout.map_or(open.deadline_us, |t| open.deadline_us.min(now_us + micros(t)));
-        self.out.insert((id, attempt), Out { engine, sent_us: now_us, stopped: false });
+        self.out.insert((id, attempt), Out { engine, sent_us: now_us, stopped: false, timer: None });
         // A module that asked for one of these would break a rule on the wire; here it only loses a try.
         let spent = self.max_attempts > 0 && attempt >= self.max_attempts;
         if busy || !ready || spent || until_us <= now_us {
@@ -401,7 +431,10 @@
             return;
         }
         if timeout.is_some() {
-            self.alarms.push(Reverse((until_us, Alarm::Attempt(id, attempt))));
+            let timer = self.alarms.arm(until_us, Alarm::Attempt(id, attempt));
+            if let Some(out) = self.out.get_mut(&(id, attempt)) {
+                out.timer = Some(timer);
+            }
         }
         let (memory_mb, priority) = (open.memory_mb, open.priority);
         commands.push(Command::Start { request: id, attempt, engine, memory_mb, priority, until_us });
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -20,6 +20,8 @@
 }
 
 counters! {
+    /// Turns of the loop.
+    turns,
     /// Client connections accepted.
     clients,
     /// Client connections for which there was no place.
@@ -28,6 +30,12 @@
     evicted,
     /// Client connections closed for a start or a message that did not end.
     timed_out,
+    /// Client connections closed for being idle for longer than the operator lets them.
+    idle_closed,
+    /// Client connections closed, or requests and statements turned down, as memory was short.
+    no_memory,
+    /// Requests told to come back, as they would not have been reached in time.
+    too_late,
     /// Requests taken and handed to the core.
     taken,
     /// Requests turned down before the core: bad fields, oversized messages.
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -92,6 +92,8 @@
         /// Its secret.
         secret: u32,
     },
+    /// Nothing more: its message was answered here, or needed no answer.
+    Done,
     /// Nothing more: its message was answered with an error here.
     Invalid,
     /// The end of this session, once all that was written is out.
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -20,8 +20,8 @@
 
 /// Statements that one session may hold.
 const MAX_STATEMENTS: usize = 256;
-/// And the bytes of their texts together.
-const MAX_STATEMENT_BYTES: usize = 128 * 1024;
+/// And the bytes that they take together.
+const MAX_STATEMENT_BYTES: usize = 192 * 1024;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum State {
@@ -43,15 +43,55 @@
     spoilt: bool,
 }
 
+impl Statement {
+    /// What it takes, with its share of the tree that holds it.
+    fn bytes(&self) -> usize {
+        let names: usize = self.bound.iter().map(|(_, name)| name.capacity()).sum();
+        let bound = self.bound.capacity() * size_of::<(u16, Vec<u8>)>() + names;
+        2 * size_of::<Self>() + self.demand.statement.capacity() + bound
+    }
+}
+
+/// What a client has prepared, with the bytes that it takes.
+#[derive(Debug, Default)]
+pub struct Statements {
+    by_handle: BTreeMap<u32, Statement>,
+    bytes: usize,
+}
+
+impl Statements {
+    fn remove(&mut self, handle: u32) {
+        if let Some(s) = self.by_handle.remove(&handle) {
+            self.bytes -= s.bytes();
+        }
+    }
+}
+
+/// A session that has logged in and is idle: all that must be kept of it.
+#[derive(Debug)]
+pub struct Parked {
+    caps: u32,
+    tenant: Option<Rc<str>>,
+    /// The one thing that may take more than this.
+    statements: Option<Box<Statements>>,
+}
+
+impl Parked {
+    /// Bytes that its prepared statements take.
+    pub fn statement_bytes(&self) -> usize {
+        self.statements.as_ref().map_or(0, |s| s.bytes)
+    }
+}
+
 /// One session.
 pub struct Session {
     state: State,
     directory: Rc<Directory>,
     scramble: [u8; 20],
     caps: u32,
-    tenant: Option<String>,
+    tenant: Option<Rc<str>>,
     sequence: u8,
-    statements: BTreeMap<u32, Statement>,
+    statements: Option<Box<Statements>>,
     /// The next handle, of all sessions: one that outlived its connection names nothing on the next.
     handles: Rc<Cell<u32>>,
     /// A statement whose class the settings have yet to judge.
@@ -92,12 +132,63 @@
             caps: 0,
             tenant: None,
             sequence,
-            statements: BTreeMap::new(),
+            statements: None,
+            handles,
+            pending: None,
+        }
+    }
+
+    /// Whether it is idle, so that it can be parked.
+    pub fn is_idle(&self) -> bool {
+        self.state == State::Ready && self.pending.is_none()
+    }
+
+    /// What must be kept of it while it is idle.
+    pub fn park(self) -> Parked {
+        debug_assert!(self.is_idle());
+        Parked { caps: self.caps, tenant: self.tenant, statements: self.statements }
+    }
+
+    /// Goes on with one that was parked.
+    pub fn resume(parked: Parked, directory: Rc<Directory>, handles: Rc<Cell<u32>>) -> Self {
+        let Parked { caps, tenant, statements } = parked;
+        // The scramble has done its work, and each command brings its own sequence number.
+        Self {
+            state: State::Ready,
+            directory,
+            scramble: [0; 20],
+            caps,
+            tenant,
+            sequence: 0,
+            statements,
             handles,
             pending: None,
         }
     }
 
+    /// Bytes that its prepared statements take, with the one being prepared.
+    pub fn statement_bytes(&self) -> usize {
+        self.pending_bytes() + self.statements.as_ref().map_or(0, |s| s.bytes)
+    }
+
+    /// Bytes that the statement takes which is being prepared.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.as_ref().map_or(0, Statement::bytes)
+    }
+
+    /// Turns the statement down that is being prepared: what all sessions may hold is held.
+    pub fn no_room(&mut self, out: &mut Vec<u8>) {
+        self.state = State::Ready;
+        self.pending = None;
+        self.invalid(1461, "42000", "Too many prepared statements, no memory is left for more", out);
+    }
+
+    /// Ends a session for which no memory is left.
+    pub fn out_of_memory(&mut self, out: &mut Vec<u8>) {
+        self.error(&SqlError::new(1041, "HY001", "Out of memory for this connection"), out);
+        self.state = State::Closed;
+    }
+
     /// Turns a client away that can't be held, in place of a greeting.
     pub fn turn_away(&mut self, out: &mut Vec<u8>) {
         out.clear();
@@ -120,21 +211,17 @@
 
     /// Reads one message; as of the other front.
     pub fn read(&mut self, input: &mut Vec<u8>, out: &mut Vec<u8>) -> Option<Want> {
-        loop {
-            if matches!(self.state, State::Busy | State::Closed) {
-                return None;
-            }
-            let want = match mysql::packet(input) {
-                Ok(None) => return None,
-                Ok(Some((sequence, payload))) => {
-                    self.sequence = sequence.wrapping_add(1);
-                    self.payload(&payload, out).unwrap_or_else(|e| Some(self.fatal(e, out)))
-                }
-                Err(e) => Some(self.fatal(e, out)),
-            };
-            if want.is_some() {
-                return want;
+        if matches!(self.state, State::Busy | State::Closed) {
+            return None;
+        }
+        match mysql::packet(input) {
+            Ok(None) => None,
+            Ok(Some((sequence, payload))) => {
+                self.sequence = sequence.wrapping_add(1);
+                let want = self.payload(&payload, out).unwrap_or_else(|e| Some(self.fatal(e, out)));
+                Some(want.unwrap_or(Want::Done))
             }
+            Err(e) => Some(self.fatal(e, out)),
         }
     }
 
@@ -223,16 +310,22 @@
             // Long data gets no answer, whatever becomes of it; the next execution tells.
             0x18 => {
                 let handle = r.int(4)? as u32;
-                if let Some(s) = self.statements.get_mut(&handle) {
+                if let Some(s) = self.statement(handle) {
                     s.spoilt = true;
                 }
             }
             0x19 => {
-                self.statements.remove(&(r.int(4)? as u32));
+                let handle = r.int(4)? as u32;
+                if let Some(statements) = &mut self.statements {
+                    statements.remove(handle);
+                    if statements.by_handle.is_empty() {
+                        self.statements = None;
+                    }
+                }
             }
             0x1a => {
                 let handle = r.int(4)? as u32;
-                match self.statements.get_mut(&handle) {
+                match self.statement(handle) {
                     Some(s) => {
                         s.spoilt = false;
                         self.ok(0, 0, out);
@@ -255,6 +348,10 @@
         self.invalid(mysql::UNKNOWN_STATEMENT, "HY000", &text, out)
     }
 
+    fn statement(&mut self, handle: u32) -> Option<&mut Statement> {
+        self.statements.as_mut()?.by_handle.get_mut(&handle)
+    }
+
     fn has(&self, cap: u32) -> bool {
         self.caps & cap != 0
     }
@@ -276,7 +373,7 @@
         match fields::split(text) {
             Ok((mut fields, statement)) => {
                 // Who the client is was proven at its start; a field can't change that.
-                fields.tenant = self.tenant.clone();
+                fields.tenant = self.tenant.as_deref().map(str::to_owned);
                 Some(Demand { fields, statement: statement.to_vec(), run })
             }
             Err(e) => {
@@ -304,8 +401,8 @@
     }
 
     fn prepare(&mut self, text: &[u8], out: &mut Vec<u8>) -> Option<Want> {
-        let held: usize = self.statements.values().map(|s| s.demand.statement.len()).sum();
-        if self.statements.len() >= MAX_STATEMENTS || held + text.len() > MAX_STATEMENT_BYTES {
+        let (count, held) = self.statements.as_ref().map_or((0, 0), |s| (s.by_handle.len(), s.bytes));
+        if count >= MAX_STATEMENTS || held + text.len() > MAX_STATEMENT_BYTES {
             return Some(self.invalid(1461, "42000", "Too many prepared statements", out));
         }
         let Some(mut demand) = self.demand(text, Run::Query, out) else { return Some(Want::Invalid) };
@@ -349,7 +446,9 @@
         if statement.params > 0 && !self.has(caps::DEPRECATE_EOF) {
             self.eof(out);
         }
-        self.statements.insert(handle, statement);
+        let statements = self.statements.get_or_insert_default();
+        statements.bytes += statement.bytes();
+        statements.by_handle.insert(handle, statement);
     }
 
     fn eof(&mut self, out: &mut Vec<u8>) {
@@ -362,9 +461,10 @@
         let flags = r.int(1)?;
         r.take(4)?;
         let attributed = self.has(caps::QUERY_ATTRIBUTES);
-        let Some(s) = self.statements.get_mut(&handle) else {
+        let Some(s) = self.statements.as_mut().and_then(|s| s.by_handle.get_mut(&handle)) else {
             return Ok(Some(self.unknown(handle, "mysqld_stmt_execute", out)));
         };
+        let before = s.bytes();
         if s.spoilt {
             return Ok(Some(self.invalid(1210, "HY000", "Long data is not taken here", out)));
         }
@@ -385,6 +485,10 @@
         }
         let mut demand = s.demand.clone();
         demand.run = Run::Execute(params);
+        let after = s.bytes();
+        if let Some(statements) = &mut self.statements {
+            statements.bytes = statements.bytes + after - before;
+        }
         Ok(Some(self.open(demand, &attributes, out)))
     }
 
@@ -452,7 +556,7 @@
 
     /// A session whose client has logged in without a password, and what it has heard since.
     fn ready() -> Session {
-        let account = Account { tenant: "acme".to_owned(), password: String::new() };
+        let account = Account { tenant: "acme".into(), password: String::new() };
         let directory = Rc::new(Directory::new([("unit".to_owned(), account)]));
         let mut out = Vec::new();
         let handles = Rc::new(Cell::new(10));
@@ -462,11 +566,36 @@
         hello.extend([0, 0, 0, 1, 45]);
         hello.extend([0; 23]);
         hello.extend(b"unit\0\0mysql_native_password\0");
-        assert_eq!(session.read(&mut packet(&hello, 1), &mut out), None);
+        assert_eq!(session.read(&mut packet(&hello, 1), &mut out), Some(Want::Done));
         assert_eq!(session.state, State::Ready);
         session
     }
 
+    #[test]
+    fn a_parked_session_goes_on_with_its_statements_and_their_bytes_add_up() {
+        let mut session = ready();
+        let mut out = Vec::new();
+        for _ in 0..3 {
+            session.read(&mut packet(b"\x16/* c=lookup */ SELECT ? FROM a_1.b", 0), &mut out);
+            session.judged(&mut out);
+        }
+        let held = session.statement_bytes();
+        let (directory, handles) = (session.directory.clone(), session.handles.clone());
+        let parked = session.park();
+        assert_eq!(parked.statement_bytes(), held);
+        let mut session = Session::resume(parked, directory, handles);
+        assert_eq!(session.statement_bytes(), held);
+        let execute = packet(&[0x17, 11, 0, 0, 0, 8, 1, 0, 0, 0, 1, 1, 1, 6, 0, 0], 0);
+        let Some(Want::Answer(demand)) = session.read(&mut execute.clone(), &mut out) else { panic!("none") };
+        assert_eq!(demand.fields.tenant.as_deref(), Some("acme"));
+        assert!(!session.is_idle(), "its request is open");
+        session.answer(Answer::Refused(None), &mut out);
+        for handle in 10..13 {
+            session.read(&mut packet(&[0x19, handle, 0, 0, 0], 0), &mut out);
+        }
+        assert_eq!((session.statement_bytes(), session.statements.is_none()), (0, true));
+    }
+
     fn packet(payload: &[u8], mut sequence: u8) -> Vec<u8> {
         let mut out = Vec::new();
         mysql::put_packet(&mut out, &mut sequence, payload);
@@ -482,7 +611,7 @@
         hello.extend([0; 28]);
         hello.extend(b"unit\0\0caching_sha2_password\0");
         out.clear();
-        assert_eq!(session.read(&mut packet(&hello, 1), &mut out), None);
+        assert_eq!(session.read(&mut packet(&hello, 1), &mut out), Some(Want::Done));
         assert!(out[4] == 0xfe && out[5..].starts_with(b"mysql_native_password\0"));
         assert_eq!(
             session.read(&mut packet(b"", 3), &mut out),
@@ -500,7 +629,7 @@
         session.judged(&mut out);
         out.clear();
         let long = packet(&[0x18, 10, 0, 0, 0, 0, 0, b'x'], 0);
-        assert_eq!(session.read(&mut long.clone(), &mut out), None);
+        assert_eq!(session.read(&mut long.clone(), &mut out), Some(Want::Done));
         assert_eq!(out, [], "long data is never answered");
         let execute = packet(&[0x17, 10, 0, 0, 0, 8, 1, 0, 0, 0, 1, 1, 1, 6, 0, 0], 0);
         assert_eq!(session.read(&mut execute.clone(), &mut out), Some(Want::Invalid));
--- a/gateway/src/front/pg.rs
+++ b/gateway/src/front/pg.rs
@@ -79,6 +79,21 @@
         self.state == State::StartUp
     }
 
+    /// Whether it is idle, so that nothing but its key must be kept.
+    pub fn is_idle(&self) -> bool {
+        self.state == State::Ready
+    }
+
+    /// Goes on with a session that was idle.
+    pub fn resume(key: (u32, u32), longest: usize) -> Self {
+        Self { state: State::Ready, ..Self::new(key, longest) }
+    }
+
+    /// Ends a session for which no memory is left; class 53 says that trying again is harmless.
+    pub fn out_of_memory(&mut self, out: &mut Vec<u8>) {
+        self.fatal(out, "53200", "out of memory for this connection");
+    }
+
     /// Whether a request is open here.
     pub fn is_busy(&self) -> bool {
         self.state == State::Busy
@@ -87,44 +102,38 @@
     /// Reads one message from `input`, writes to `out` what needs no decision. `None`: more must come, or
     /// the open request must end, first.
     pub fn read(&mut self, input: &mut Vec<u8>, out: &mut Vec<u8>) -> Option<Want> {
-        loop {
-            match self.state {
-                State::Closed | State::Busy => return None,
-                State::StartUp => {
-                    if input.len() < 8 {
-                        return None;
-                    }
-                    let length = be32(input) as usize;
-                    if !(8..=MAX_STARTUP).contains(&length) {
-                        return Some(self.fatal(out, "08P01", "invalid length of the start-up packet"));
-                    }
-                    if input.len() < length {
-                        return None;
-                    }
-                    let packet: Vec<u8> = input.drain(..length).collect();
-                    if let Some(want) = self.start(&packet, out) {
-                        return Some(want);
-                    }
+        match self.state {
+            State::Closed | State::Busy => None,
+            State::StartUp => {
+                if input.len() < 8 {
+                    return None;
                 }
-                State::Ready | State::Skipping => {
-                    if input.len() < 5 {
-                        return None;
-                    }
-                    let (kind, length) = (input[0], be32(&input[1..5]) as usize);
-                    if length < 4 {
-                        return Some(self.fatal(out, "08P01", "invalid message length"));
-                    }
-                    if length > self.longest {
-                        return Some(self.fatal(out, "54000", "message too long"));
-                    }
-                    if input.len() < length + 1 {
-                        return None;
-                    }
-                    let body: Vec<u8> = input.drain(..=length).skip(5).collect();
-                    if let Some(want) = self.message(kind, &body, out) {
-                        return Some(want);
-                    }
+                let length = be32(input) as usize;
+                if !(8..=MAX_STARTUP).contains(&length) {
+                    return Some(self.fatal(out, "08P01", "invalid length of the start-up packet"));
+                }
+                if input.len() < length {
+                    return None;
+                }
+                let packet: Vec<u8> = input.drain(..length).collect();
+                Some(self.start(&packet, out).unwrap_or(Want::Done))
+            }
+            State::Ready | State::Skipping => {
+                if input.len() < 5 {
+                    return None;
+                }
+                let (kind, length) = (input[0], be32(&input[1..5]) as usize);
+                if length < 4 {
+                    return Some(self.fatal(out, "08P01", "invalid message length"));
+                }
+                if length > self.longest {
+                    return Some(self.fatal(out, "54000", "message too long"));
+                }
+                if input.len() < length + 1 {
+                    return None;
                 }
+                let body: Vec<u8> = input.drain(..=length).skip(5).collect();
+                Some(self.message(kind, &body, out).unwrap_or(Want::Done))
             }
         }
     }
--- a/gateway/src/front/pg/tests.rs
+++ b/gateway/src/front/pg/tests.rs
@@ -168,7 +168,10 @@
     let mut session = Session::new((1, 2), LONGEST);
     let mut input = [vec![0, 0, 0, 8, 0x04, 0xd2, 0x16, 0x2f], start_up(), bytes(Step::Good)].concat();
     let mut out = Vec::new();
-    let Some(Want::Answer(demand)) = session.read(&mut input, &mut out) else { panic!("no request") };
+    let read = |_| session.read(&mut input, &mut out);
+    let [Some(Want::Done), Some(Want::Done), Some(Want::Answer(demand))] = [(); 3].map(read) else {
+        panic!("no request")
+    };
     assert_eq!(demand.statement, b"SELECT 1");
     assert_eq!(out[0], b'N');
 }
--- /dev/null
+++ b/gateway/src/lateness.rs
@@ -0,0 +1,47 @@
+//! How late timers fire: what an engineer on call looks at first when a gateway seems slow.
+
+use std::fmt;
+
+use hdrhistogram::Histogram;
+
+/// Later than this counts as this, in microseconds.
+const LATEST_US: u64 = 60_000_000;
+
+/// How late timers have fired since the start.
+#[derive(Clone, Debug)]
+pub struct Lateness {
+    histogram: Option<Histogram<u32>>,
+}
+
+impl Default for Lateness {
+    fn default() -> Self {
+        Self { histogram: Histogram::new_with_bounds(1, LATEST_US, 2).ok() }
+    }
+}
+
+impl Lateness {
+    /// Notes a timer that was due at `due_us` and fires now.
+    pub fn note(&mut self, due_us: u64, now_us: u64) {
+        if let Some(histogram) = &mut self.histogram {
+            histogram.saturating_record(now_us.saturating_sub(due_us));
+        }
+    }
+
+    /// Those of both.
+    pub fn with(&self, other: &Self) -> Self {
+        let mut both = self.clone();
+        if let (Some(a), Some(b)) = (&mut both.histogram, &other.histogram) {
+            // They have the same bounds, so that nothing is out of range.
+            let _ = a.add(b);
+        }
+        both
+    }
+}
+
+impl fmt::Display for Lateness {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(h) = &self.histogram else { return Ok(()) };
+        let (p50, p99) = (h.value_at_quantile(0.5), h.value_at_quantile(0.99));
+        write!(f, "timers_rung={} late_p50_us={p50} late_p99_us={p99} late_max_us={}", h.len(), h.max())
+    }
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,14 @@
+//! The gateway as a library: configuration, core, codecs and the loop, so that tools of the workspace drive the
+//! same code as the program.
+
+pub mod config;
+pub mod coordinator;
+pub mod core;
+pub mod counters;
+pub mod engine;
+pub mod front;
+pub mod lateness;
+pub mod mysql;
+pub mod net;
+pub mod operator;
+pub mod tenants;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,18 +1,9 @@
 //! The gateway's command line.
 
-mod config;
-mod coordinator;
-mod core;
-mod counters;
-mod engine;
-mod front;
-mod mysql;
-mod net;
-mod tenants;
-
 use std::process::ExitCode;
 
 use lexopt::prelude::*;
+use wrenhatch::{config, net};
 
 const HELP: &str = "\
 wrenhatch, a gateway in front of query engines
@@ -23,7 +14,8 @@
     wrenhatch version    print the version
     wrenhatch help       print this
 
-    --mysql FILE         with serve or check: open the MySQL front as this file says (off without it)
+    --config FILE        with serve or check: the operator's file in TOML, as deploy/wrenhatch.example.toml;
+                         limits for clients' connections, and the MySQL front, which is off without it
     --log LEVEL          error, warn, info (the default), debug or trace
 ";
 
@@ -39,12 +31,12 @@
 
 fn run() -> Result<(), String> {
     let mut parser = lexopt::Parser::from_env();
-    let (mut command, mut mysql, mut level) = (None, None, tracing::Level::INFO);
+    let (mut command, mut operator, mut level) = (None, None, tracing::Level::INFO);
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         match arg {
             Short('h') | Long("help") => command = Some("help".to_owned()),
             Short('V') | Long("version") => command = Some("version".to_owned()),
-            Long("mysql") => mysql = Some(text(&mut parser)?),
+            Long("config") => operator = Some(text(&mut parser)?),
             Long("log") => level = text(&mut parser)?.parse().map_err(|_| "--log: an unknown level")?,
             Value(word) if command.is_none() => command = Some(word.to_string_lossy().into_owned()),
             other => return Err(other.unexpected().to_string()),
@@ -57,17 +49,18 @@
         .without_time()
         .init();
     match command.as_deref() {
-        Some("serve") => serve(configuration(mysql.as_deref())?),
+        Some("serve") => serve(configuration(operator.as_deref())?),
         Some("check") => {
-            let c = configuration(mysql.as_deref())?;
+            let c = configuration(operator.as_deref())?;
             println!(
-                "{} on {}: {} classes, {} tenants, {} events of the list known, {} descriptors",
+                "{} on {}: {} classes, {} tenants, {} events of the list known, {} descriptors, {} sessions at most",
                 c.name,
                 c.listen,
                 c.names.classes.len(),
                 c.names.tenants.len(),
                 c.known.1.len(),
-                c.sockets
+                c.sockets,
+                net::most_sessions(&c)
             );
             if let Some(m) = &c.mysql {
                 println!("MySQL on {}: {} engines", m.listen, m.engines.len());
@@ -91,8 +84,8 @@
     parser.value().and_then(|v| v.string()).map_err(|e| e.to_string())
 }
 
-fn configuration(mysql: Option<&str>) -> Result<config::Config, String> {
-    config::from_environment(mysql).map_err(|e| e.to_string())
+fn configuration(operator: Option<&str>) -> Result<config::Config, String> {
+    config::from_environment(operator).map_err(|e| e.to_string())
 }
 
 fn serve(config: config::Config) -> Result<(), String> {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,114 +1,26 @@
-//! Clients' side of the network: accepting, reading, answering.
+//! Clients' side of the network: taking in, reading, answering, parking.
 
-use std::cmp::Reverse;
-use std::io::ErrorKind;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 
 use notchridge::interface::*;
+use wrenhatch_sessions::governor::{Pick, Work};
+use wrenhatch_sessions::ledger::{Kind, Pressure};
+use wrenhatch_sessions::table::{Ended, Handle, Use};
 
 use super::conn::{Conn, MOST_UNSENT, Phase, ReadEnd};
-use super::places::{self, Use};
-use super::{Alarm, FIRST_CONN, OWN_DESCRIPTORS, Request, Role, Server};
+use super::doors::{self, Front};
+use super::poll::Interest;
+use super::sessions::{CLOSE_US, Session, Sessions, UNFINISHED_US};
+use super::{Alarm, Request, Server};
 use crate::config::Names;
 use crate::core::{Ask, Command, Input};
-use crate::front::{Answer, Demand, Payload, Want, fields, mysql, pg};
-use crate::mysql::{MAX_PACKET, ResultSet};
+use crate::front::{Answer, Demand, Payload, Want, fields};
+use crate::mysql::ResultSet;
 
-/// How long a client may take to start its session, and to end a message that it began: it is owed a word
-/// within 3 s.
-const UNFINISHED_US: u64 = 2_500_000;
-/// How long a client has for reading its last word, and for sending what is thrown away meanwhile.
-const CLOSE_US: u64 = 4_000_000;
-/// Clients taken in at once: what those before have sent is looked at between.
-const ACCEPTS: usize = 32;
 /// Clients beyond all places that are being told so.
 const AWAY: usize = 12;
-/// Share of the memory for messages being read. Each is held up to three times: read, kept for another
-/// attempt, being written.
-const MESSAGES: usize = 8;
-const LONGEST_MESSAGE: std::ops::RangeInclusive<usize> = 8 * 1024..=MAX_PACKET;
-
-/// A session of either front.
-enum Session {
-    Pg(pg::Session),
-    MySql(Box<mysql::Session>),
-}
-
-impl Session {
-    fn read(&mut self, input: &mut Vec<u8>, out: &mut Vec<u8>) -> Option<Want> {
-        match self {
-            Session::Pg(s) => s.read(input, out),
-            Session::MySql(s) => s.read(input, out),
-        }
-    }
-
-    fn is_starting(&self) -> bool {
-        match self {
-            Session::Pg(s) => s.is_starting(),
-            Session::MySql(s) => s.is_starting(),
-        }
-    }
-
-    fn turn_away(&mut self, out: &mut Vec<u8>) {
-        match self {
-            Session::Pg(s) => s.turn_away(out),
-            Session::MySql(s) => s.turn_away(out),
-        }
-    }
-
-    fn time_out(&mut self, out: &mut Vec<u8>) {
-        match self {
-            Session::Pg(s) => s.time_out(out),
-            Session::MySql(s) => s.time_out(out),
-        }
-    }
-
-    fn reject(&mut self, text: &str, out: &mut Vec<u8>) {
-        match self {
-            Session::Pg(s) => s.reject(text, out),
-            Session::MySql(s) => s.reject(text, out),
-        }
-    }
-
-    fn answer(&mut self, answer: Answer<'_>, out: &mut Vec<u8>) {
-        match self {
-            Session::Pg(s) => s.answer(answer, out),
-            Session::MySql(s) => s.answer(answer, out),
-        }
-    }
-}
-
-/// A client's session.
-pub struct Client {
-    session: Session,
-    key: (u32, u32),
-    open: Option<RequestId>,
-    /// When it last got on: came, ended a message, was answered.
-    moved_us: u64,
-    /// Since when it has owed the rest of its start or of a message, or its end; an alarm is set for then.
-    owes_us: Option<u64>,
-}
-
-impl Client {
-    fn used(&self, conn: &Conn) -> Use {
-        match self.owes_us {
-            Some(since) if conn.phase == Phase::Closing => Use::Told(since),
-            _ if self.open.is_some() => Use::Busy,
-            Some(since) => Use::Unfinished(since),
-            None if !conn.output.is_empty() => Use::Unread(self.moved_us),
-            None => Use::Idle(self.moved_us),
-        }
-    }
-}
-
-/// Which protocol a listener speaks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Front {
-    /// PostgreSQL.
-    Pg,
-    /// MySQL.
-    MySql,
-}
+/// Sessions closed in one turn to make memory free.
+const RELIEVED: usize = 64;
 
 /// What the settings call these fields.
 fn judge(names: &Names, fields: &fields::Fields) -> Result<(ClassId, Option<TenantId>), &'static str> {
@@ -118,310 +30,433 @@
 }
 
 impl Server {
-    /// Clients hold a third of the descriptors at most by contract; a few more are let in, and what is left
-    /// is enough for an attempt of each of them with its calls beside.
-    fn most_clients(&self) -> usize {
-        self.config.sockets / 3 + 16
-    }
-
-    /// Connections that engines may have.
-    pub(super) fn most_engine_conns(&self) -> usize {
-        self.config.sockets.saturating_sub(self.most_clients() + OWN_DESCRIPTORS)
-    }
-
-    /// The longest message taken from a client, so that all of them fit into memory.
-    fn longest_message(&self) -> usize {
-        let share = self.config.memory / MESSAGES / self.most_clients();
-        share.clamp(*LONGEST_MESSAGE.start(), *LONGEST_MESSAGE.end())
-    }
-
-    /// A number that no client can guess: a multiplicative sequence over a seed of this start.
-    fn secret(&mut self) -> u32 {
-        self.secrets =
-            self.secrets.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.secrets >> 32) as u32
-    }
-
-    fn session(&mut self, front: Front, key: (u32, u32), out: &mut Vec<u8>) -> Session {
-        match (front, &self.config.mysql) {
-            (Front::MySql, Some(m)) => {
-                let directory = m.directory.clone();
-                let mut scramble = [0; 20];
-                for part in scramble.chunks_mut(4) {
-                    part.copy_from_slice(&self.secret().to_le_bytes());
-                }
-                let handles = self.handles.clone();
-                Session::MySql(Box::new(mysql::Session::new(key.0, scramble, directory, handles, out)))
-            }
-            _ => Session::Pg(pg::Session::new(key, self.longest_message())),
-        }
-    }
-
-    pub(super) fn accept(&mut self, front: Front) {
-        for _ in 0..ACCEPTS {
-            let listener = if front == Front::Pg { &self.pg } else { &self.mysql };
-            let Some(listener) = listener else { return };
-            match listener.accept() {
-                Ok((stream, _)) => self.take_in(stream, front),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => {
-                    if e.kind() != ErrorKind::WouldBlock {
-                        tracing::warn!("accept: {e}");
-                    }
-                    return;
-                }
-            }
-        }
-    }
-
     /// Gives a new client a place, if need be that of another which has less use for it. One that gets none is
     /// told so; it may have sent a request behind its start already, which thereby is refused.
-    fn take_in(&mut self, stream: TcpStream, front: Front) {
+    pub(super) fn take_in(&mut self, stream: TcpStream, from: SocketAddr, front: Front) {
+        let now_us = self.time.now_us;
         let mut is_away = false;
-        if self.clients >= self.most_clients() {
-            match self.yielding() {
-                Some(at) => {
+        let full = self.sessions.table.len() >= self.sessions.most;
+        let short = self.sessions.ledger.allows(Kind::Sessions, Sessions::bytes_of_one()).is_err();
+        if full || short {
+            match self.sessions.table.yields(now_us) {
+                Some(who) => {
                     self.counters.evicted += 1;
-                    self.client_lost(at);
+                    self.client_lost(who);
                 }
-                None if self.clients < self.most_clients() + AWAY => is_away = true,
+                None if self.sessions.table.len() < self.sessions.most + AWAY => is_away = true,
                 None => return,
             }
         }
-        let at = self.place();
-        match Conn::accepted(&self.poll, stream, at + FIRST_CONN, self.longest_message() + 1024) {
-            Ok(mut conn) => {
-                let key = (at as u32 + 1, self.secret());
-                let mut session = self.session(front, key, &mut conn.output);
-                if is_away {
-                    session.turn_away(&mut conn.output);
-                }
-                let client = Client { session, key, open: None, moved_us: self.now_us, owes_us: None };
-                self.put(at, conn, Role::Client(client));
-                self.clients += 1;
+        if let Err(e) = doors::keep_alive(&stream, &self.config) {
+            tracing::debug!("keepalive: {e}");
+        }
+        let who = self.sessions.table.next_handle();
+        match Conn::accepted(&self.poll, stream, Sessions::key(who), self.sessions.read_ahead()) {
+            Ok(conn) => {
+                let who = self.sessions.insert(conn, front, from, &self.config, now_us);
                 self.counters.clients += 1;
                 if is_away {
+                    if let Some(live) = self.sessions.table.hot_mut(who) {
+                        live.session.turn_away(&mut live.conn.output);
+                    }
                     self.counters.turned_away += 1;
-                    self.close_soon(at);
+                    self.close_soon(who);
                 }
-                self.client_moved(at, true);
+                self.client_moved(who, true);
             }
-            Err(e) => {
-                tracing::warn!("a client could not be taken in: {e}");
-                self.free.push(at);
+            Err(e) => tracing::warn!("a client could not be taken in: {e}"),
+        }
+    }
+
+    /// Something is ready on a client's connection. It is read when its turn comes.
+    pub(super) fn session_ready(&mut self, key: u64, interest: Interest) {
+        let Some(who) = Handle::from_bits(key & (super::SESSION - 1)) else { return };
+        if interest.write {
+            self.sessions.touch(who);
+        }
+        if interest.read {
+            if self.sessions.table.hot(who).is_some_and(|live| live.conn.is_cut_off()) {
+                return self.client_lost(who);
             }
+            self.sessions.queue(who, self.time.now_us);
         }
     }
 
-    /// The client whose place another may have.
-    fn yielding(&self) -> Option<usize> {
-        let used = |(at, p): (usize, &Option<super::Peer>)| match p.as_ref() {
-            Some(super::Peer { conn, role: Role::Client(client), .. }) => Some((at, client.used(conn))),
-            _ => None,
-        };
-        places::yields(self.peers.iter().enumerate().filter_map(used), self.now_us)
+    /// Reads those whose turn it is.
+    pub(super) fn read_sessions(&mut self) {
+        while let Some(pick) = self.sessions.governor.pick(self.time.now_us) {
+            if self.sessions.table.unmark(pick.who) {
+                self.visit(pick);
+            }
+        }
     }
 
-    /// Notes how far a client has got, and sets a limit to what it owes.
-    fn client_moved(&mut self, at: usize, moved: bool) {
-        self.dirty.push(at);
-        let now_us = self.now_us;
-        let Some(super::Peer { conn, role: Role::Client(client), serial }) =
-            self.peers.get_mut(at).and_then(Option::as_mut)
-        else {
-            return;
-        };
-        if conn.phase == Phase::Closing {
+    fn visit(&mut self, pick: Pick) {
+        let who = pick.who;
+        if !self.sessions.wake(who, &self.config, self.time.now_us) {
             return;
         }
-        if moved {
-            client.moved_us = now_us;
+        let most = self.sessions.governor.limits().bytes;
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        (live.ready_us, live.early, live.more) = (pick.ready_us, pick.early, false);
+        let before = live.conn.input.len();
+        let end = live.conn.fill(most);
+        let read = live.conn.input.len().saturating_sub(before);
+        live.more = end == ReadEnd::More;
+        let open = live.conn.phase == Phase::Open;
+        self.sessions.charge_bytes(read);
+        if open {
+            self.client_messages(who);
         }
-        let owes = client.session.is_starting() || (client.open.is_none() && !conn.input.is_empty());
-        // A start has one limit, whatever comes before its end.
-        let anew = moved && !client.session.is_starting();
-        if owes && (anew || client.owes_us.is_none()) {
-            client.owes_us = Some(now_us);
-            self.alarms.push(Reverse((now_us + UNFINISHED_US, Alarm::ClientBy(at, *serial))));
-        } else if !owes {
-            client.owes_us = None;
+        if matches!(end, ReadEnd::Eof | ReadEnd::Broken) {
+            return self.client_lost(who);
+        }
+        if let Some(live) = self.sessions.table.hot_mut(who) {
+            live.early = false;
         }
+        self.sessions.touch(who);
     }
 
-    pub(super) fn client_read(&mut self, at: usize, end: ReadEnd) {
-        if self.peer(at).is_some_and(|p| p.conn.phase == Phase::Open) {
-            self.client_messages(at);
+    /// Notes how far a client has got, and since when it owes what it owes.
+    fn client_moved(&mut self, who: Handle, moved: bool) {
+        let now_us = self.time.now_us;
+        self.sessions.touch(who);
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        if live.conn.phase == Phase::Closing {
+            return;
         }
-        if end != ReadEnd::Later {
-            self.client_lost(at);
+        let owes = live.session.is_starting() || (live.open.is_none() && !live.conn.input.is_empty());
+        // A start has one limit, whatever comes before its end.
+        let anew = moved && !live.session.is_starting();
+        if owes && (anew || live.owes_us.is_none()) {
+            live.owes_us = Some(now_us);
+        } else if !owes {
+            live.owes_us = None;
         }
     }
 
-    /// Reads messages until more must come, a request is open or the client has answers to read.
-    pub(super) fn client_messages(&mut self, at: usize) {
+    /// Reads messages until more must come, a request is open, the client has answers to read, or others have
+    /// their turn.
+    fn client_messages(&mut self, who: Handle) {
+        let mut left = self.sessions.governor.limits().messages;
         let mut moved = false;
-        while self.client_message(at) {
-            moved = true;
+        while left > 0 && self.client_message(who) {
+            (left, moved) = (left - 1, true);
         }
-        self.client_moved(at, moved);
+        if left == 0 {
+            if let Some(live) = self.sessions.table.hot_mut(who) {
+                live.more |= !live.conn.input.is_empty();
+            }
+        }
+        self.client_moved(who, moved);
     }
 
     /// Reads one message; whether there was one.
-    fn client_message(&mut self, at: usize) -> bool {
-        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return false };
-        let Role::Client(client) = &mut peer.role else { return false };
-        let conn = &mut peer.conn;
+    fn client_message(&mut self, who: Handle) -> bool {
+        let Some(live) = self.sessions.table.hot_mut(who) else { return false };
+        let conn = &mut live.conn;
         if conn.phase != Phase::Open || conn.output.len() > MOST_UNSENT {
             return false;
         }
-        let before = conn.input.len();
-        match client.session.read(&mut conn.input, &mut conn.output) {
-            None => return conn.input.len() < before,
+        match live.session.read(&mut conn.input, &mut conn.output) {
+            None => return false,
+            Some(Want::Done) => {}
             Some(Want::Invalid) => self.counters.invalid += 1,
-            Some(Want::Answer(demand)) => self.demand(at, demand),
-            Some(Want::Judge(fields)) => {
-                let wrong = judge(&self.names, &fields).err();
-                self.counters.invalid += u64::from(wrong.is_some());
-                match (&mut client.session, wrong) {
-                    (session, Some(wrong)) => session.reject(wrong, &mut conn.output),
-                    (Session::MySql(session), None) => session.judged(&mut conn.output),
-                    (Session::Pg(_), None) => {}
-                }
-            }
+            Some(Want::Answer(demand)) => self.demand(who, demand),
+            Some(Want::Judge(fields)) => self.judge(who, &fields),
             Some(Want::Cancel { session, secret }) => {
-                self.close_soon(at);
+                self.close_soon(who);
                 self.cancel(session, secret);
             }
-            Some(Want::Close) => self.close_soon(at),
+            Some(Want::Close) => self.close_soon(who),
         }
         true
     }
 
+    /// Says whether a statement may be prepared: the settings must know what it names, and there must be memory.
+    fn judge(&mut self, who: Handle, fields: &fields::Fields) {
+        let wrong = judge(&self.names, fields).err();
+        // What it takes is told with the rest of its session's when the turn is over; till then it counts twice.
+        let Some(live) = self.sessions.table.hot(who) else { return };
+        let Session::MySql(session) = &live.session else { return };
+        let room = self.sessions.ledger.allows(Kind::Statements, session.pending_bytes()).is_ok();
+        self.counters.invalid += u64::from(wrong.is_some());
+        self.counters.no_memory += u64::from(wrong.is_none() && !room);
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        let out = &mut live.conn.output;
+        match (&mut live.session, wrong) {
+            (session, Some(wrong)) => session.reject(wrong, out),
+            (Session::MySql(session), None) if room => session.judged(out),
+            (Session::MySql(session), None) => session.no_room(out),
+            (Session::Pg(_), None) => {}
+        }
+        self.sessions.book(who);
+    }
+
     /// Closes a connection once all that was written is out and the other side has ended too, or when that
     /// takes too long.
-    fn close_soon(&mut self, at: usize) {
-        let now_us = self.now_us;
-        if let Some(super::Peer { conn, role: Role::Client(client), serial }) =
-            self.peers.get_mut(at).and_then(Option::as_mut)
-        {
-            conn.phase = Phase::Closing;
-            conn.input = Vec::new();
-            client.owes_us = Some(now_us);
-            self.alarms.push(Reverse((now_us + CLOSE_US, Alarm::ClientBy(at, *serial))));
+    fn close_soon(&mut self, who: Handle) {
+        let now_us = self.time.now_us;
+        if let Some(live) = self.sessions.table.hot_mut(who) {
+            live.conn.phase = Phase::Closing;
+            live.conn.input = Vec::new();
+            live.owes_us = Some(now_us);
         }
+        self.sessions.touch(who);
     }
 
     /// A client that has not started its session in time, or has begun a message and not ended it, is told so
     /// and keeps others out no longer; nor does one that takes no more bytes.
-    pub(super) fn client_late(&mut self, at: usize, serial: u64) {
-        let now_us = self.now_us;
-        let Some(peer) = self.peer(at).filter(|p| p.serial == serial) else { return };
-        let Role::Client(client) = &mut peer.role else { return };
-        let Some(since) = client.owes_us else { return };
-        if peer.conn.phase == Phase::Closing {
-            if now_us >= since + CLOSE_US {
-                self.client_lost(at);
+    pub(super) fn client_late(&mut self, who: Handle) {
+        let now_us = self.time.now_us;
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        live.timer = None;
+        let Some(since_us) = live.owes_us else { return };
+        if live.conn.phase == Phase::Closing {
+            if now_us >= since_us + CLOSE_US {
+                self.client_lost(who);
             }
-        } else if now_us >= since + UNFINISHED_US {
-            client.session.time_out(&mut peer.conn.output);
+        } else if now_us >= since_us + UNFINISHED_US {
+            live.session.time_out(&mut live.conn.output);
             self.counters.timed_out += 1;
-            self.close_soon(at);
-            self.dirty.push(at);
+            self.close_soon(who);
+        }
+        self.sessions.touch(who);
+    }
+
+    /// The turn is over for a session that something has happened to: what it has to say is written, what it owes
+    /// gets its timer, what it holds is booked, and if it is idle it is parked.
+    pub(super) fn settle_session(&mut self, who: Handle) {
+        let now_us = self.time.now_us;
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        live.dirty = false;
+        let conn = &mut live.conn;
+        let waited = conn.output.len() > MOST_UNSENT;
+        if conn.flush().is_err() || conn.update(&self.poll, Sessions::key(who)).is_err() {
+            return self.client_lost(who);
+        }
+        if waited && conn.output.len() <= MOST_UNSENT && conn.phase == Phase::Open {
+            live.ready_us = now_us;
+            // It is settled once more after that.
+            return self.client_messages(who);
+        }
+        let due_us = live.due_us();
+        if due_us != live.timer.map(|(at_us, _)| at_us) {
+            live.timer = match (live.timer, due_us) {
+                (Some((_, id)), Some(due_us)) if self.timers.rearm(id, due_us) => Some((due_us, id)),
+                (Some((_, id)), None) => {
+                    self.timers.cancel(id);
+                    None
+                }
+                (_, due_us) => due_us.map(|due_us| (due_us, self.timers.arm(due_us, Alarm::Client(who)))),
+            };
+        }
+        let (used, since_us) = (live.used(), live.owes_us.unwrap_or(now_us));
+        if live.has_more() {
+            live.more = false;
+            self.sessions.queue(who, now_us);
+        }
+        self.sessions.book(who);
+        // One that waits for its turn may have a request to be read.
+        let waits = matches!(used, Use::Idle | Use::Keeping) && self.sessions.table.is_marked(who);
+        let used = if waits { Use::Busy } else { used };
+        self.sessions.table.set_use(who, used, since_us);
+        if matches!(used, Use::Idle | Use::Keeping) {
+            self.sessions.park(who);
+            self.await_idle_limit();
+        }
+    }
+
+    /// Where idle sessions have a limit, one timer is set for the one that has been idle for longest.
+    fn await_idle_limit(&mut self) {
+        let Some(limit_us) = self.config.clients.idle_limit_us else { return };
+        if self.sessions.idle_timer.is_some() {
+            return;
+        }
+        let oldest = [Use::Idle, Use::Keeping].map(|used| self.sessions.table.oldest(used));
+        if let Some(since_us) = oldest.into_iter().flatten().map(|(_, since_us)| since_us).min() {
+            self.sessions.idle_timer = Some(self.timers.arm(since_us + limit_us, Alarm::IdleLimit));
+        }
+    }
+
+    /// Closes sessions that have been idle for longer than the operator lets them.
+    pub(super) fn close_long_idle(&mut self) {
+        self.sessions.idle_timer = None;
+        let Some(limit_us) = self.config.clients.idle_limit_us else { return };
+        for used in [Use::Idle, Use::Keeping] {
+            while let Some((who, since_us)) = self.sessions.table.oldest(used) {
+                if self.time.now_us < since_us + limit_us {
+                    break;
+                }
+                self.counters.idle_closed += 1;
+                self.client_lost(who);
+            }
+        }
+        self.await_idle_limit();
+    }
+
+    /// Makes memory free where it has run short: idle sessions that hold statements go first, then those that
+    /// hold a part of a message, then those that don't read their answers. Open requests are never ended for it.
+    pub(super) fn relieve(&mut self) {
+        for _ in 0..RELIEVED {
+            let pressure = self.sessions.ledger.pressure();
+            let oldest = |used| self.sessions.table.oldest(used).map(|(who, _)| who);
+            let goes = match pressure {
+                Pressure::Calm => return,
+                Pressure::Short => oldest(Use::Keeping),
+                Pressure::Scarce => oldest(Use::Keeping).or(oldest(Use::Unfinished)),
+                Pressure::Out => oldest(Use::Keeping).or(oldest(Use::Unfinished)).or(oldest(Use::Unread)),
+            };
+            let Some(who) = goes else { return };
+            self.counters.no_memory += 1;
+            let unfinished = self.sessions.table.used(who).is_some_and(|(used, _)| used == Use::Unfinished);
+            match self.sessions.table.hot_mut(who) {
+                Some(live) if unfinished => {
+                    live.session.out_of_memory(&mut live.conn.output);
+                    self.close_soon(who);
+                    self.settle_session(who);
+                }
+                _ => self.client_lost(who),
+            }
         }
     }
 
-    /// Takes a request, or turns it down where its fields name nothing that the settings know.
-    fn demand(&mut self, at: usize, demand: Demand) {
+    /// Takes a request, or turns it down where its fields name nothing that the settings know, and where it would
+    /// not be served: the gateway ends, is full, or would come to it too late.
+    fn demand(&mut self, who: Handle, demand: Demand) {
+        let now_us = self.time.now_us;
         let fields = demand.fields;
         let judged = judge(&self.names, &fields);
-        let (going, full) = (self.is_going(), self.requests.len() >= self.config.max_open);
-        let taken = fields.id.as_ref().is_some_and(|id| self.is_open(id));
-        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
-        let Role::Client(client) = &mut peer.role else { return };
+        let (going, full) = (self.is_going(), self.requests.open.len() >= self.config.max_open);
+        let taken = fields.id.as_ref().is_some_and(|id| self.requests.is_under_way(id));
+        let secrets = fields.id.is_none().then(|| (self.sessions.secret(), self.sessions.secret()));
+        let backlog_us = self.sessions.governor.backlog_us();
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
         // Engines know a query by its id alone: calls for one of two with the same would strike the other.
         let judged = if taken { Err("the id is that of a request that is open") } else { judged };
         let (class, tenant) = match judged {
             Ok(named) => named,
             Err(wrong) => {
                 self.counters.invalid += 1;
-                client.session.reject(wrong, &mut peer.conn.output);
+                live.session.reject(wrong, &mut live.conn.output);
                 return;
             }
         };
-        if going || full {
+        let class_wait = (self.config.settings.classes[class.0].deadline * 1e6) as u64;
+        // Nobody waits for longer than its class does, and timers of a day would be kept for a day.
+        let wait_us = fields.wait_ms.map_or(class_wait, |ms| ms.saturating_mul(1000)).min(class_wait);
+        // Its client has waited since the request was there to be read.
+        let deadline_us = live.ready_us.saturating_add(wait_us);
+        let work_us = if live.early { backlog_us } else { 0 };
+        let (ticket, run) = match (fields.id, secrets) {
+            (Some(id), _) => (id, demand.run),
+            (None, secrets) => {
+                let (a, b) = secrets.unwrap_or_default();
+                (format!("{a:08x}{b:08x}"), demand.run)
+            }
+        };
+        let request = Request { client: who, ticket, class, statement: demand.statement, run };
+        let short = self.sessions.ledger.allows(Kind::Requests, request.bytes()).is_err();
+        let late = !self.sessions.governor.in_time(now_us, work_us, deadline_us);
+        if going || full || short || late {
             // Nothing was sent: trying again, elsewhere for one that ends, is harmless.
             self.counters.refused += 1;
-            client.session.answer(Answer::Refused(None), &mut peer.conn.output);
+            self.counters.too_late += u64::from(late);
+            self.counters.no_memory += u64::from(short);
+            let tells = self.config.settings.allowed.retry_after && (short || late);
+            let wait_ms = tells.then(|| self.sessions.governor.come_back_ms(now_us));
+            if let Some(live) = self.sessions.table.hot_mut(who) {
+                live.session.answer(Answer::Refused(wait_ms), &mut live.conn.output);
+            }
             return;
         }
-        let class_wait = (self.config.settings.classes[class.0].deadline * 1e6) as u64;
-        // Nobody waits for longer than its class does, and timers of a day would be kept for a day.
-        let wait_us = fields.wait_ms.map_or(class_wait, |ms| ms.saturating_mul(1000)).min(class_wait);
-        let id = RequestId(self.next_request);
-        self.next_request += 1;
-        client.open = Some(id);
+        let id = self.requests.next();
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        live.open = Some(id);
+        // It is owed an answer: from here on its place is nobody else's.
+        self.sessions.table.set_use(who, Use::Busy, now_us);
+        if let Some(tenant) = tenant {
+            self.sessions.set_tenant(who, tenant.0);
+        }
+        self.sessions.governor.charge(Work::Request, 1);
         let ask = Ask {
             class,
             tenant,
-            deadline_us: self.now_us.saturating_add(wait_us),
+            deadline_us,
             estimate: fields.estimate_ms.map(|ms| ms / 1000.0),
             need_mb: fields.need_mb.filter(|mb| *mb > 0.0),
-            group: crate::front::fields::table_group(&demand.statement).map(GroupId),
+            group: fields::table_group(&request.statement).map(GroupId),
         };
         self.counters.taken += 1;
-        let ticket = fields.id.unwrap_or_else(|| format!("{:08x}{:08x}", self.secret(), self.secret()));
         let (estimate_ms, need_mb) = (fields.estimate_ms, fields.need_mb);
         tracing::debug!(
-            ticket,
+            ticket = request.ticket,
             class = class.0,
             wait_us,
             estimate_ms,
             need_mb,
-            now_us = self.now_us,
+            now_us,
             "taken"
         );
-        let (statement, run) = (demand.statement, demand.run);
-        self.requests.insert(id, Request { client: at, ticket, class, statement, run });
+        self.sessions.ledger.book(Kind::Requests, 0, request.bytes());
+        self.requests.insert(id, request);
         self.inputs.push(Input::Asked(id, ask));
     }
 
-    /// Whether a request or an attempt with this id is under way.
-    fn is_open(&self, id: &str) -> bool {
-        self.requests.values().any(|r| r.ticket.eq_ignore_ascii_case(id)) || self.is_out(id)
-    }
-
     /// Ends the request of the session that a CancelRequest names; its client waits no longer.
     fn cancel(&mut self, session: u32, secret: u32) {
-        let at = (session as usize).wrapping_sub(1);
-        let Some(peer) = self.peer(at) else { return };
-        let Role::Client(client) = &mut peer.role else { return };
-        if client.key != (session, secret) {
+        let Some(who) = session.checked_sub(1).and_then(|index| self.sessions.table.tenant(index)) else {
             return;
-        }
-        if let Some(id) = client.open.take() {
-            client.session.answer(Answer::Cancelled, &mut peer.conn.output);
+        };
+        let Some(live) = self.sessions.table.hot_mut(who).filter(|live| live.secret == secret) else {
+            return;
+        };
+        if let Some(id) = live.open.take() {
+            live.session.answer(Answer::Cancelled, &mut live.conn.output);
+            live.ready_us = self.time.now_us;
             self.left(id);
-            self.client_messages(at);
+            self.client_messages(who);
         }
     }
 
+    fn close_request(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(id)?;
+        self.sessions.ledger.book(Kind::Requests, request.bytes(), 0);
+        Some(request)
+    }
+
     fn left(&mut self, id: RequestId) {
-        if self.requests.remove(&id).is_some() {
+        if self.close_request(id).is_some() {
             self.counters.left += 1;
             self.inputs.push(Input::Left(id));
         }
     }
 
-    pub(super) fn client_lost(&mut self, at: usize) {
-        if let Some(Role::Client(Client { open: Some(id), .. })) = self.close(at) {
-            self.left(id);
+    /// The one place where a client's connection is closed.
+    pub(super) fn client_lost(&mut self, who: Handle) {
+        match self.sessions.table.remove(who) {
+            Some(Ended::Hot(live)) => {
+                self.sessions.unbook_live(&live);
+                if let Some((_, timer)) = live.timer {
+                    self.timers.cancel(timer);
+                }
+                live.conn.close(&self.poll);
+                if let Some(id) = live.open {
+                    self.left(id);
+                }
+            }
+            Some(Ended::Cold(parked)) => {
+                self.sessions.unbook_parked(&parked);
+                self.poll.remove(parked.into_stream());
+            }
+            None => {}
         }
     }
 
     /// Passes the core's final answer on.
     pub(super) fn answer(&mut self, command: Command) {
         let (id, answer) = match command {
-            Command::Serve(id, attempt) => match self.results.get(&(id, attempt)) {
+            Command::Serve(id, attempt) => match self.pools.results.get(&(id, attempt)) {
                 Some(payload) => (id, Answer::Served(payload)),
                 None => (id, Answer::Failed("the result is lost")),
             },
@@ -429,20 +464,21 @@
             Command::Fail(id) => (id, Answer::Failed("the engines could not answer")),
             _ => return,
         };
-        let Some(request) = self.requests.remove(&id) else { return };
-        tracing::debug!(ticket = request.ticket, now_us = self.now_us, how = answer.name(), "answered");
+        let Some(request) = self.requests.remove(id) else { return };
+        self.sessions.ledger.book(Kind::Requests, request.bytes(), 0);
+        tracing::debug!(ticket = request.ticket, now_us = self.time.now_us, how = answer.name(), "answered");
         *match answer {
             Answer::Served(Payload::MySql(ResultSet::Wrong(_))) => &mut self.counters.failed,
             Answer::Served(_) => &mut self.counters.served,
             Answer::Refused(_) => &mut self.counters.refused,
             Answer::Failed(_) | Answer::Cancelled => &mut self.counters.failed,
         } += 1;
-        let Some(peer) = self.peers.get_mut(request.client).and_then(Option::as_mut) else { return };
-        let Role::Client(client) = &mut peer.role else { return };
-        if client.open == Some(id) {
-            (client.open, client.moved_us) = (None, self.now_us);
-            client.session.answer(answer, &mut peer.conn.output);
-            self.client_messages(request.client);
+        let who = request.client;
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        if live.open == Some(id) {
+            (live.open, live.ready_us) = (None, self.time.now_us);
+            live.session.answer(answer, &mut live.conn.output);
+            self.client_messages(who);
         }
     }
 }
--- a/gateway/src/net/conn.rs
+++ b/gateway/src/net/conn.rs
@@ -5,7 +5,7 @@
 
 use socket2::{Domain, Protocol, Socket, Type};
 
-use super::poll::{Interest, Poll};
+use super::poll::{Interest, Poll, Told};
 
 /// How far a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +28,7 @@
 pub struct Conn {
     stream: TcpStream,
     registered: Interest,
+    told: Told,
     ended: bool,
     /// How far it has come.
     pub phase: Phase,
@@ -44,6 +45,8 @@
 pub enum ReadEnd {
     /// Nothing more for now.
     Later,
+    /// More may be there than was taken in one go.
+    More,
     /// The other side has closed.
     Eof,
     /// The connection is broken.
@@ -51,15 +54,16 @@
 }
 
 impl Conn {
-    /// An accepted connection.
-    pub fn accepted(poll: &Poll, stream: TcpStream, key: usize, read_ahead: usize) -> io::Result<Self> {
+    /// An accepted connection of a session. That it can be read is told once for all that has come; whoever
+    /// stops at [`ReadEnd::More`] comes back by itself.
+    pub fn accepted(poll: &Poll, stream: TcpStream, key: u64, read_ahead: usize) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
-        Self::register(poll, stream, key, Phase::Open, read_ahead)
+        Self::register(poll, stream, key, Phase::Open, read_ahead, Told::Once)
     }
 
     /// A connection that is being opened.
-    pub fn connect(poll: &Poll, address: SocketAddr, key: usize, read_ahead: usize) -> io::Result<Self> {
+    pub fn connect(poll: &Poll, address: SocketAddr, key: u64, read_ahead: usize) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
@@ -68,21 +72,57 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock || e.raw_os_error() == Some(IN_PROGRESS) => {}
             Err(e) => return Err(e),
         }
-        Self::register(poll, socket.into(), key, Phase::Connecting, read_ahead)
+        Self::register(poll, socket.into(), key, Phase::Connecting, read_ahead, Told::Always)
     }
 
-    fn register(poll: &Poll, stream: TcpStream, key: usize, phase: Phase, ahead: usize) -> io::Result<Self> {
+    fn register(
+        poll: &Poll,
+        stream: TcpStream,
+        key: u64,
+        phase: Phase,
+        read_ahead: usize,
+        told: Told,
+    ) -> io::Result<Self> {
         let registered = Interest { read: phase == Phase::Open, write: phase == Phase::Connecting };
-        poll.add(&stream, key, registered)?;
-        Ok(Self {
+        poll.add(&stream, key, registered, told)?;
+        Ok(Self { registered, phase, told, ..Self::resume(stream, read_ahead) })
+    }
+
+    /// What is left of an idle session's connection: its socket, which goes on being waited for. The connection
+    /// itself where it is not idle.
+    pub fn park(self) -> Result<TcpStream, Self> {
+        let waits = Interest { read: true, write: false };
+        let quiet = self.input.is_empty() && self.output.is_empty() && self.registered == waits;
+        if quiet && self.phase == Phase::Open { Ok(self.stream) } else { Err(self) }
+    }
+
+    /// Goes on with a connection that was parked.
+    pub fn resume(stream: TcpStream, read_ahead: usize) -> Self {
+        Self {
             stream,
-            registered,
+            registered: Interest { read: true, write: false },
+            told: Told::Once,
             ended: false,
-            phase,
+            phase: Phase::Open,
             input: Vec::new(),
             output: Vec::new(),
-            read_ahead: ahead,
-        })
+            read_ahead,
+        }
+    }
+
+    /// Bytes that its buffers take.
+    pub fn buffered(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
+    /// Whether more is read from it at present.
+    pub fn wants_read(&self) -> bool {
+        match self.phase {
+            Phase::Connecting => false,
+            // Who takes no answers is asked for no more requests.
+            Phase::Open => self.input.len() < self.read_ahead && self.output.len() <= MOST_UNSENT,
+            Phase::Closing => true,
+        }
     }
 
     /// Whether the connection has come up.
@@ -95,31 +135,26 @@
         Ok(())
     }
 
-    /// Reads what is there, up to the read-ahead.
-    pub fn fill(&mut self) -> ReadEnd {
+    /// Reads what is there, up to the read-ahead and to about `most` bytes.
+    pub fn fill(&mut self, most: usize) -> ReadEnd {
         let mut chunk = [0; 16 * 1024];
-        if self.phase == Phase::Closing {
-            for _ in 0..MOST_DISCARDED / chunk.len() {
-                match self.stream.read(&mut chunk) {
-                    Ok(0) => return ReadEnd::Eof,
-                    Ok(_) => {}
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                    Err(_) => return ReadEnd::Broken,
-                }
-            }
-            return ReadEnd::Later;
-        }
-        while self.input.len() < self.read_ahead {
+        let closing = self.phase == Phase::Closing;
+        let mut left = if closing { MOST_DISCARDED } else { most };
+        while left > 0 && (closing || self.input.len() < self.read_ahead) {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return ReadEnd::Eof,
-                Ok(n) => self.input.extend(&chunk[..n]),
+                Ok(n) => {
+                    left = left.saturating_sub(n);
+                    if !closing {
+                        self.input.extend(&chunk[..n]);
+                    }
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return ReadEnd::Later,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return ReadEnd::Broken,
             }
         }
-        ReadEnd::Later
+        ReadEnd::More
     }
 
     /// Writes what the socket takes. An error means that the connection is broken.
@@ -159,18 +194,11 @@
     }
 
     /// Waits for what is wanted next.
-    pub fn update(&mut self, poll: &Poll, key: usize) -> io::Result<()> {
-        let wanted = Interest {
-            read: match self.phase {
-                Phase::Connecting => false,
-                // Who takes no answers is asked for no more requests.
-                Phase::Open => self.input.len() < self.read_ahead && self.output.len() <= MOST_UNSENT,
-                Phase::Closing => true,
-            },
-            write: self.phase == Phase::Connecting || !self.output.is_empty(),
-        };
+    pub fn update(&mut self, poll: &Poll, key: u64) -> io::Result<()> {
+        let write = self.phase == Phase::Connecting || !self.output.is_empty();
+        let wanted = Interest { read: self.wants_read(), write };
         if wanted != self.registered {
-            poll.change(&self.stream, key, wanted)?;
+            poll.change(&self.stream, key, wanted, self.told)?;
             self.registered = wanted;
         }
         Ok(())
--- /dev/null
+++ b/gateway/src/net/doors.rs
@@ -0,0 +1,182 @@
+//! Listeners, and what is done where no descriptor is left for who knocks.
+
+use std::fs::File;
+use std::io::{ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use wrenhatch_sessions::governor::Work;
+
+use super::poll::{Interest, Poll, Told};
+use super::{Alarm, MYSQL_LISTENER, PG_LISTENER, ServeError, Server};
+use crate::config::Config;
+
+/// Where descriptors have run out and nobody yields one, nobody is accepted for so long.
+const SHUT_US: u64 = 50_000;
+/// EMFILE and ENFILE on Linux: the process, or the machine, has no descriptor left.
+const OUT_OF_DESCRIPTORS: [i32; 2] = [24, 23];
+
+/// Which protocol a listener speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Front {
+    /// PostgreSQL.
+    Pg,
+    /// MySQL.
+    MySql,
+}
+
+impl Front {
+    fn key(self) -> u64 {
+        match self {
+            Front::Pg => PG_LISTENER,
+            Front::MySql => MYSQL_LISTENER,
+        }
+    }
+}
+
+/// The listeners.
+pub struct Doors {
+    pg: Option<TcpListener>,
+    mysql: Option<TcpListener>,
+    /// A descriptor kept back, so that one who can't be held can be accepted and told so.
+    spare: Option<File>,
+    /// They are not listened at for the moment.
+    shut: bool,
+}
+
+const KNOCKS: Interest = Interest { read: true, write: false };
+const NOTHING: Interest = Interest { read: false, write: false };
+
+impl Doors {
+    /// Listens where the configuration says.
+    pub fn open(config: &Config, poll: &Poll) -> Result<Self, ServeError> {
+        let backlog = config.clients.backlog;
+        let listen = |address, front: Front| -> Result<TcpListener, ServeError> {
+            let listener = listener(address, backlog).map_err(|e| ServeError::Listen(address, e))?;
+            poll.add(&listener, front.key(), KNOCKS, Told::Always)?;
+            Ok(listener)
+        };
+        Ok(Self {
+            pg: Some(listen(config.listen, Front::Pg)?),
+            mysql: config.mysql.as_ref().map(|m| listen(m.listen, Front::MySql)).transpose()?,
+            spare: File::open("/dev/null").ok(),
+            shut: false,
+        })
+    }
+
+    fn listener(&self, front: Front) -> Option<&TcpListener> {
+        match front {
+            Front::Pg => self.pg.as_ref(),
+            Front::MySql => self.mysql.as_ref(),
+        }
+    }
+
+    /// Where a front listens.
+    pub fn address(&self, front: Front) -> Option<String> {
+        Some(self.listener(front)?.local_addr().ok()?.to_string())
+    }
+
+    /// Listens no more.
+    pub fn close(&mut self, poll: &Poll) {
+        for listener in [self.pg.take(), self.mysql.take()].into_iter().flatten() {
+            poll.remove(&listener);
+        }
+    }
+
+    fn watch(&mut self, poll: &Poll, interest: Interest) {
+        self.shut = interest == NOTHING;
+        for front in [Front::Pg, Front::MySql] {
+            let changed = self.listener(front).map(|l| poll.change(l, front.key(), interest, Told::Always));
+            if let Some(Err(e)) = changed {
+                tracing::warn!("a listener: {e}");
+            }
+        }
+    }
+
+    /// Listens again.
+    pub fn resume(&mut self, poll: &Poll) {
+        if self.shut {
+            self.watch(poll, KNOCKS);
+        }
+    }
+
+    /// Accepts one connection with the descriptor kept back, tells it that there is no place, and closes it.
+    /// False if not even that can be done.
+    fn tell_off(&mut self, front: Front, word: &[u8]) -> bool {
+        if self.spare.take().is_none() {
+            return false;
+        }
+        let told = match self.listener(front).map(TcpListener::accept) {
+            Some(Ok((mut stream, _))) => {
+                // Its buffer is empty, so this never waits; and a client that is gone needs no word.
+                let _ = stream.set_nonblocking(true);
+                let _ = stream.write(word);
+                let _ = stream.shutdown(Shutdown::Write);
+                true
+            }
+            _ => false,
+        };
+        self.spare = File::open("/dev/null").ok();
+        told
+    }
+}
+
+fn listener(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
+    Ok(socket.into())
+}
+
+impl Server {
+    /// Accepts as many as the turn can carry; the rest is told of again at the next.
+    pub(super) fn accept(&mut self, front: Front) {
+        for _ in 0..self.sessions.governor.accepts() {
+            let Some(listener) = self.doors.listener(front) else { return };
+            match listener.accept() {
+                Ok((stream, from)) => {
+                    self.sessions.governor.charge(Work::Accept, 1);
+                    self.take_in(stream, from, front);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // It was there and has gone again, as after a reset: the next one may be well.
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) if e.raw_os_error().is_some_and(|code| OUT_OF_DESCRIPTORS.contains(&code)) => {
+                    if !self.find_descriptor(front) {
+                        return;
+                    }
+                }
+                Err(e) => return tracing::warn!("accept: {e}"),
+            }
+        }
+    }
+
+    /// No descriptor is left, whatever the budget says. Whoever yields its place gives one; else the one who
+    /// knocks is told off with the spare one; else the doors are shut for a moment, or the loop would spin.
+    fn find_descriptor(&mut self, front: Front) -> bool {
+        if let Some(who) = self.sessions.table.yields(self.time.now_us) {
+            self.counters.evicted += 1;
+            self.client_lost(who);
+            return true;
+        }
+        if self.doors.tell_off(front, &super::sessions::no_place(front)) {
+            self.counters.turned_away += 1;
+            return true;
+        }
+        tracing::warn!("no descriptor is left: nobody is accepted for a moment");
+        self.doors.watch(&self.poll, NOTHING);
+        self.timers.arm(self.time.now_us + SHUT_US, Alarm::Doors);
+        false
+    }
+}
+
+/// A connection whose other end may vanish without a word is asked for from time to time, where the operator
+/// wants that.
+pub fn keep_alive(stream: &TcpStream, config: &Config) -> std::io::Result<()> {
+    let Some(k) = &config.clients.keepalive else { return Ok(()) };
+    let probing =
+        socket2::TcpKeepalive::new().with_time(k.idle).with_interval(k.interval).with_retries(k.probes);
+    socket2::SockRef::from(stream).set_tcp_keepalive(&probing)
+}
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -1,13 +1,15 @@
 //! Engines' side of the network: the pool of connections and the attempts over them.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use notchridge::interface::*;
+use wrenhatch_sessions::wheel::TimerId;
 
 use super::conn::{Conn, Phase, ReadEnd};
-use super::{Alarm, FIRST_CONN, Request, Role, Server};
+use super::poll::Interest;
+use super::pools::{Peer, Pools};
+use super::{Alarm, Request, Server};
 use crate::config::{ListEvent, Listed, Names};
 use crate::core::Input;
 use crate::engine::{http, mysql};
@@ -130,6 +132,8 @@
     thread: u32,
     /// It was given up and the engine is being told.
     pub stopping: bool,
+    /// Rings when the engine should have been heard of its end.
+    unheard: Option<TimerId>,
     /// How often in a row the present call had no good answer and was made again over another connection.
     retries: u32,
 }
@@ -142,8 +146,8 @@
         let mut stale = Vec::new();
         if event.full {
             let named: Vec<EngineId> =
-                event.entries.iter().filter_map(|l| self.engine_ids.get(&l.name).copied()).collect();
-            for (id, e) in &mut self.engines {
+                event.entries.iter().filter_map(|l| self.pools.ids.get(&l.name).copied()).collect();
+            for (id, e) in &mut self.pools.engines {
                 if !named.contains(id) {
                     e.state = EngineState::Gone;
                     stale.extend(e.all_idle());
@@ -151,12 +155,12 @@
             }
         }
         for l in &event.entries {
-            let id = *self.engine_ids.entry(l.name.clone()).or_insert_with(|| {
-                self.engines_met += 1;
-                EngineId(self.engines_met - 1)
+            let id = *self.pools.ids.entry(l.name.clone()).or_insert_with(|| {
+                self.pools.met += 1;
+                EngineId(self.pools.met - 1)
             });
             let mysql = self.config.mysql.as_ref().and_then(|m| m.engines.get(&l.name).copied());
-            let e = self.engines.entry(id).or_insert_with(|| Engine {
+            let e = self.pools.engines.entry(id).or_insert_with(|| Engine {
                 address: l.address,
                 mysql,
                 state: l.state,
@@ -174,7 +178,7 @@
             entries.push(self.entry(id, l));
         }
         for at in stale {
-            self.close(at);
+            self.pools.close(&self.poll, &mut self.timers, at);
         }
         let mode = if event.full { ListMode::Full } else { ListMode::Delta };
         self.inputs.push(Input::List(mode, entries));
@@ -183,20 +187,16 @@
 
     /// Forgets engines that have gone once nothing refers to them: new names come for as long as this runs.
     fn prune_engines(&mut self) {
-        let links = self.peers.iter().flatten().filter_map(|p| match &p.role {
-            Role::Engine(link) => Some(link.engine),
-            _ => None,
-        });
-        let mut used: BTreeSet<EngineId> = links.collect();
-        used.extend(self.attempts.values().map(|a| a.engine));
-        self.engines.retain(|id, e| e.state != EngineState::Gone || used.contains(id));
-        let engines = &self.engines;
-        self.engine_ids.retain(|_, id| engines.contains_key(id));
+        let mut used: BTreeSet<EngineId> = self.pools.peers.iter().flatten().map(|p| p.link.engine).collect();
+        used.extend(self.pools.attempts.values().map(|a| a.engine));
+        self.pools.engines.retain(|id, e| e.state != EngineState::Gone || used.contains(id));
+        let engines = &self.pools.engines;
+        self.pools.ids.retain(|_, id| engines.contains_key(id));
     }
 
     fn entry(&mut self, engine: EngineId, l: &Listed) -> EngineEntry {
         // Unix milliseconds to the core's clock, which started at a known Unix time.
-        let started = i128::from(l.since_ms) * 1000 - self.unix_offset_us;
+        let started = i128::from(l.since_ms) * 1000 - self.time.unix_offset_us;
         EngineEntry {
             engine,
             zone: ZoneId(Names::number(&mut self.names.zones, &l.zone)),
@@ -215,8 +215,8 @@
         priority: u8,
         until_us: u64,
     ) {
-        let Some(request) = self.requests.get(&id.0) else { return self.never_sent(id, Outcome::Void) };
-        let max_ms = (until_us.saturating_sub(self.now_us) / 1000).max(1);
+        let Some(request) = self.requests.open.get(&id.0) else { return self.never_sent(id, Outcome::Void) };
+        let max_ms = (until_us.saturating_sub(self.time.now_us) / 1000).max(1);
         let class = self.names.classes[request.class.0].as_str();
         let (course, tongue) = match &request.run {
             Run::Simple => {
@@ -239,9 +239,18 @@
         let prepared = matches!(request.run, Run::Execute(_)).then(|| request.statement.clone());
         match self.link(engine, Job::Attempt(id), tongue, prepared.as_deref()) {
             Ok(link) => {
-                let attempt =
-                    Attempt { engine, link, course, ticket, thread: 0, stopping: false, retries: 0 };
-                self.attempts.insert(id, attempt);
+                let attempt = Attempt {
+                    engine,
+                    link,
+                    course,
+                    ticket,
+                    thread: 0,
+                    stopping: false,
+                    unheard: None,
+                    retries: 0,
+                };
+                self.requests.take_ticket(&attempt.ticket);
+                self.pools.attempts.insert(id, attempt);
                 self.post_if_up(link);
             }
             Err(outcome) => self.never_sent(id, outcome),
@@ -262,27 +271,27 @@
         tongue: Tongue,
         prepared: Option<&[u8]>,
     ) -> Result<usize, Outcome> {
-        let Some(e) = self.engines.get_mut(&engine) else { return Err(Outcome::Void) };
+        let Some(e) = self.pools.engines.get_mut(&engine) else { return Err(Outcome::Void) };
         if matches!(job, Job::Attempt(_)) && e.state != EngineState::Ready {
             return Err(Outcome::Void);
         }
         let idle = &mut e.idle[tongue as usize];
-        let peers = &self.peers;
+        let peers = &self.pools.peers;
         let has = |at: &usize| {
-            let wire = peers[*at].as_ref().map(|p| &p.role);
-            let Some(Role::Engine(Link { wire: Wire::MySql(s), .. })) = wire else { return false };
+            let wire = peers[*at].as_ref().map(|p| &p.link);
+            let Some(Link { wire: Wire::MySql(s), .. }) = wire else { return false };
             prepared.is_some_and(|sql| s.has_prepared(sql))
         };
         let best = idle.iter().rposition(has).or_else(|| idle.len().checked_sub(1));
         match best.map(|i| idle.remove(i)) {
             Some(at) if self.is_quiet(at) => {
-                if let Some(super::Peer { role: Role::Engine(link), .. }) = self.peer(at) {
+                if let Some(Peer { link, .. }) = self.pools.peer(at) {
                     link.job = job;
                 }
                 Ok(at)
             }
             Some(at) => {
-                self.close(at);
+                self.pools.close(&self.poll, &mut self.timers, at);
                 self.link(engine, job, tongue, prepared)
             }
             None => self.connect(engine, job, tongue),
@@ -292,43 +301,41 @@
     /// Whether nothing has come over an idle connection. Bytes behind an answer would be taken for the next
     /// one, and over one that the engine has closed a start could not be told from one that ran.
     fn is_quiet(&mut self, at: usize) -> bool {
-        let Some(peer) = self.peer(at) else { return false };
-        peer.conn.fill() == ReadEnd::Later && peer.conn.input.is_empty()
+        let Some(peer) = self.pools.peer(at) else { return false };
+        peer.conn.fill(usize::MAX) == ReadEnd::Later && peer.conn.input.is_empty()
     }
 
     /// Opens a connection to an engine, within the budget.
     fn connect(&mut self, engine: EngineId, job: Job, tongue: Tongue) -> Result<usize, Outcome> {
-        let Some(e) = self.engines.get(&engine) else { return Err(Outcome::Void) };
+        let Some(e) = self.pools.engines.get(&engine) else { return Err(Outcome::Void) };
         let Some(address) = (if tongue == Tongue::Http { Some(e.address) } else { e.mysql }) else {
             return Err(Outcome::Void);
         };
         // What has gone may have left its address to another, which knows nothing of its queries.
         let taken_over = |o: &Engine| o.state != EngineState::Gone && o.address == e.address;
-        if e.state == EngineState::Gone && self.engines.values().any(taken_over) {
+        if e.state == EngineState::Gone && self.pools.engines.values().any(taken_over) {
             return Err(Outcome::Void);
         }
-        if self.engine_conns >= self.most_engine_conns() && !self.close_an_idle_link() {
+        if self.pools.conns >= super::sessions::most_engine_conns(&self.config) && !self.close_an_idle_link()
+        {
             return Err(Outcome::Void);
         }
         let wire = match (tongue, &self.config.mysql) {
             (Tongue::MySql, Some(m)) => Wire::MySql(Box::new(mysql::Session::new(m.login.clone()))),
             _ => Wire::Http,
         };
-        let at = self.place();
+        let (at, key) = self.pools.place();
         let ahead = if tongue == Tongue::Http { 2 * http::MAX_ANSWER } else { 512 * 1024 };
-        match Conn::connect(&self.poll, address, at + FIRST_CONN, ahead) {
+        match Conn::connect(&self.poll, address, key, ahead) {
             Ok(conn) => {
-                let link = Link { engine, job, wire, asked_us: self.now_us };
-                let serial = self.put(at, conn, Role::Engine(link));
-                self.engine_conns += 1;
+                let link = Link { engine, job, wire, asked_us: self.time.now_us };
+                self.pools.put(at, conn, link);
                 self.counters.engine_connects += 1;
-                let by = self.now_us + self.config.connect_us;
-                self.alarms.push(Reverse((by, Alarm::ConnectBy(at, serial))));
                 Ok(at)
             }
             Err(e) => {
                 tracing::debug!("connect to {address}: {e}");
-                self.free.push(at);
+                self.pools.unplace(at);
                 let refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
                 Err(if refused { Outcome::Unreachable } else { Outcome::Void })
             }
@@ -337,87 +344,155 @@
 
     /// Makes room within the descriptor budget.
     fn close_an_idle_link(&mut self) -> bool {
-        let pools = self.engines.values_mut().flat_map(|e| &mut e.idle);
+        let pools = self.pools.engines.values_mut().flat_map(|e| &mut e.idle);
         let fullest = pools.max_by_key(|idle| idle.len()).filter(|idle| !idle.is_empty());
         let Some(at) = fullest.map(|idle| idle.remove(0)) else { return false };
-        self.close(at);
+        self.pools.close(&self.poll, &mut self.timers, at);
         true
     }
 
-    /// Makes calls again whose answers don't come. Closes connections whose answers no longer matter and don't
-    /// come, as those of a machine that has vanished, which would else hold descriptors for good; and those that
-    /// were idle for so long that the engine may close them any moment: a start written to one that is being
-    /// closed could not be told from one that ran.
-    pub(super) fn sweep(&mut self) {
-        let most = self.config.keepalive_us * 6 / 10;
-        let now_us = self.now_us;
-        let mut old = Vec::new();
-        let peers = &self.peers;
-        for idle in self.engines.values_mut().flat_map(|e| &mut e.idle) {
-            idle.retain(|at| {
-                let keep = match peers[*at].as_ref().map(|p| &p.role) {
-                    Some(Role::Engine(Link { job: Job::Idle { since_us }, .. })) => now_us - since_us < most,
-                    _ => false,
-                };
-                if !keep {
-                    old.push(*at);
-                }
-                keep
-            });
+    /// When something must have happened on a connection: it must be up, an answer must have come, one that no
+    /// longer matters too; and one must not be idle for so long that the engine may close it any moment, as a
+    /// start written to one that is being closed could not be told from one that ran.
+    fn link_due_us(&self, peer: &Peer) -> Option<u64> {
+        let link = &peer.link;
+        if link.is_coming_up(peer.conn.phase) {
+            return Some(link.asked_us + self.config.connect_us);
         }
-        let attempts = &self.attempts;
-        let deserted = |p: &super::Peer| match &p.role {
-            Role::Engine(Link { job: Job::Stray { since_us }, .. }) => now_us - since_us > STRAY_US,
-            Role::Engine(Link { job: Job::Delete(id), .. }) => !attempts.contains_key(id),
-            _ => false,
+        match (link.job, &link.wire) {
+            (Job::Idle { since_us }, _) => Some(since_us + self.config.keepalive_us * 6 / 10),
+            (Job::Attempt(_), Wire::Http) => Some(link.asked_us + ANSWER_US + 1),
+            (Job::Attempt(_), Wire::MySql(_)) => None,
+            (Job::Stray { since_us }, _) => Some(since_us + STRAY_US + 1),
+            (Job::Delete(_), _) => Some(link.asked_us + UNHEARD_US),
+        }
+    }
+
+    /// Writes what a connection has to say, waits for what it wants next, and sets its timer.
+    pub(super) fn settle_link(&mut self, at: usize) {
+        let Some(peer) = self.pools.peer(at) else { return };
+        if peer.conn.phase != Phase::Connecting {
+            let key = Pools::key(at, peer.serial);
+            let peer = &mut peer.conn;
+            if peer.flush().is_err() || peer.update(&self.poll, key).is_err() {
+                return self.engine_gone(at, End::Broken);
+            }
+        }
+        let Some(peer) = self.pools.peers.get(at).and_then(Option::as_ref) else { return };
+        let due_us = self.link_due_us(peer);
+        let (serial, timer) = (peer.serial, peer.timer);
+        if due_us == timer.map(|(at_us, _)| at_us) {
+            return;
+        }
+        let timer = match (timer, due_us) {
+            (Some((_, id)), Some(due_us)) if self.timers.rearm(id, due_us) => Some((due_us, id)),
+            (Some((_, id)), None) => {
+                self.timers.cancel(id);
+                None
+            }
+            (_, due_us) => due_us.map(|due_us| (due_us, self.timers.arm(due_us, Alarm::Link(at, serial)))),
         };
-        let places = |of: &dyn Fn(&super::Peer) -> bool| {
-            let peers = self.peers.iter().enumerate();
-            peers.filter(|(_, p)| p.as_ref().is_some_and(of)).map(|(at, _)| at).collect::<Vec<_>>()
+        if let Some(peer) = self.pools.peer(at) {
+            peer.timer = timer;
+        }
+    }
+
+    /// What must have happened on a connection by now has not.
+    pub(super) fn link_late(&mut self, at: usize, serial: u32) {
+        let now_us = self.time.now_us;
+        let Some(peer) = self.pools.peers.get(at).and_then(Option::as_ref).filter(|p| p.serial == serial)
+        else {
+            return;
         };
-        let unanswered = |p: &super::Peer| match &p.role {
-            Role::Engine(Link { job: Job::Attempt(_), wire: Wire::Http, asked_us, .. }) => {
-                p.conn.phase == Phase::Open && now_us.saturating_sub(*asked_us) > ANSWER_US
+        let late = self.link_due_us(peer).is_some_and(|due_us| due_us <= now_us);
+        let coming = peer.link.is_coming_up(peer.conn.phase);
+        let (job, engine) = (peer.link.job, peer.link.engine);
+        if let Some(peer) = self.pools.peer(at) {
+            peer.timer = None;
+        }
+        self.pools.dirty.push(at);
+        match job {
+            _ if !late => {}
+            _ if coming => self.engine_gone(at, End::Late),
+            Job::Idle { .. } => {
+                if let Some(e) = self.pools.engines.get_mut(&engine) {
+                    e.idle.iter_mut().for_each(|idle| idle.retain(|i| *i != at));
+                }
+                self.pools.close(&self.poll, &mut self.timers, at);
+            }
+            Job::Attempt(_) => {
+                tracing::debug!("an engine's answer does not come");
+                self.engine_gone(at, End::Broken);
+            }
+            // The machine may have vanished, and the connection would hold its descriptor for good.
+            Job::Stray { .. } => {
+                self.pools.close(&self.poll, &mut self.timers, at);
+            }
+            Job::Delete(id) if !self.pools.attempts.contains_key(&id) => {
+                self.pools.close(&self.poll, &mut self.timers, at);
+            }
+            Job::Delete(_) => {
+                if let Some(peer) = self.pools.peer(at) {
+                    peer.link.asked_us = now_us;
+                }
             }
-            _ => false,
-        };
-        old.extend(places(&deserted));
-        let late = places(&unanswered);
-        for at in old {
-            self.close(at);
         }
-        for at in late {
-            tracing::debug!("an engine's answer does not come");
-            self.engine_gone(at, End::Broken);
+    }
+
+    /// Something is ready on a connection to an engine.
+    pub(super) fn link_ready(&mut self, at: usize, interest: Interest) {
+        let Some(peer) = self.pools.peer(at) else { return };
+        if peer.conn.phase == Phase::Connecting {
+            if !interest.write && !interest.read {
+                return;
+            }
+            match peer.conn.finish_connect() {
+                Ok(()) => {}
+                // Only this proves that no process is there: a reset strikes connections of living ones too.
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+                    return self.engine_gone(at, End::Refused);
+                }
+                Err(_) => return self.engine_gone(at, End::Broken),
+            }
+            self.connected(at);
+        }
+        if interest.write {
+            self.pools.dirty.push(at);
+        }
+        if interest.read {
+            let Some(peer) = self.pools.peer(at) else { return };
+            if peer.conn.is_cut_off() {
+                return self.engine_gone(at, End::Broken);
+            }
+            let end = peer.conn.fill(usize::MAX);
+            self.engine_read(at, end);
         }
     }
 
-    pub(super) fn connected(&mut self, at: usize) {
-        let by = self.now_us + self.config.connect_us;
-        let Some(peer) = self.peer(at) else { return };
-        let serial = peer.serial;
-        match &peer.role {
-            Role::Engine(Link { wire: Wire::Http, .. }) => self.post_if_up(at),
+    fn connected(&mut self, at: usize) {
+        let now_us = self.time.now_us;
+        let Some(peer) = self.pools.peer(at) else { return };
+        match &peer.link.wire {
+            Wire::Http => self.post_if_up(at),
             // The engine speaks first, and no slower than a connection may come up.
-            Role::Engine(_) => {
-                self.alarms.push(Reverse((by, Alarm::ConnectBy(at, serial))));
-                self.dirty.push(at);
+            Wire::MySql(_) => {
+                peer.link.asked_us = now_us;
+                self.pools.dirty.push(at);
             }
-            _ => self.dirty.push(at),
         }
     }
 
     fn may_send_to(&self, engine: EngineId) -> bool {
-        self.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready)
+        self.pools.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready)
     }
 
     /// Writes what a connection was opened for once it is up. An attempt is not sent where its engine drains
     /// or has gone since.
     fn post_if_up(&mut self, at: usize) {
-        self.dirty.push(at);
-        let now_us = self.now_us;
-        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
-        let Role::Engine(link) = &mut peer.role else { return };
+        self.pools.dirty.push(at);
+        let now_us = self.time.now_us;
+        let Some(peer) = self.pools.peers.get_mut(at).and_then(Option::as_mut) else { return };
+        let link = &mut peer.link;
         let (engine, out) = (link.engine, &mut peer.conn.output);
         link.asked_us = now_us;
         if link.is_coming_up(peer.conn.phase) {
@@ -425,8 +500,8 @@
         }
         match link.job {
             Job::Attempt(id) => {
-                let ready = self.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready);
-                let Some(attempt) = self.attempts.get_mut(&id) else { return };
+                let ready = self.pools.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready);
+                let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
                 if matches!(attempt.course, Course::Http { start: None, .. }) {
                     // It was sent long ago; news of it may be asked for wherever the engine stands.
                     if let Course::Http { exchange, .. } = &attempt.course {
@@ -439,7 +514,7 @@
                     return self.end_attempt(id, Outcome::Void, None);
                 }
                 self.counters.sent += 1;
-                let class = self.requests.get(&id.0).map(|r| r.class.0);
+                let class = self.requests.open.get(&id.0).map(|r| r.class.0);
                 tracing::debug!(
                     ticket = attempt.ticket,
                     number = id.1,
@@ -461,9 +536,9 @@
                 }
             }
             Job::Delete(id) => {
-                let Some(attempt) = self.attempts.get(&id) else { return self.release(at) };
+                let Some(attempt) = self.pools.attempts.get(&id) else { return self.release(at) };
                 let (ticket, thread) = (attempt.ticket.clone(), attempt.thread);
-                let Some(super::Peer { conn, role: Role::Engine(link), .. }) = self.peer(at) else { return };
+                let Some(Peer { conn, link, .. }) = self.pools.peer(at) else { return };
                 match &mut link.wire {
                     Wire::Http => http::delete(&ticket, &mut conn.output),
                     Wire::MySql(session) => session.kill(thread, &mut conn.output),
@@ -475,28 +550,29 @@
 
     /// Puts a connection back to the idle ones of its engine.
     fn release(&mut self, at: usize) {
-        let now_us = self.now_us;
-        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
-        let Role::Engine(link) = &mut peer.role else { return };
+        let now_us = self.time.now_us;
+        let Some(peer) = self.pools.peers.get_mut(at).and_then(Option::as_mut) else { return };
+        let link = &mut peer.link;
         link.job = Job::Idle { since_us: now_us };
+        self.pools.dirty.push(at);
         let conn = &peer.conn;
         let free = match &link.wire {
             Wire::Http => true,
             Wire::MySql(s) => s.is_up(),
         };
         let clean = free && conn.phase == Phase::Open && conn.input.is_empty() && conn.output.is_empty();
-        match self.engines.get_mut(&link.engine) {
+        match self.pools.engines.get_mut(&link.engine) {
             Some(e) if clean && e.state != EngineState::Gone => e.idle[link.tongue() as usize].push(at),
             _ => {
-                self.close(at);
+                self.pools.close(&self.poll, &mut self.timers, at);
             }
         }
     }
 
     pub(super) fn engine_read(&mut self, at: usize, end: ReadEnd) {
         loop {
-            let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
-            let Role::Engine(link) = &mut peer.role else { return };
+            let Some(peer) = self.pools.peers.get_mut(at).and_then(Option::as_mut) else { return };
+            let link = &mut peer.link;
             let conn = &mut peer.conn;
             if conn.input.is_empty() {
                 break;
@@ -511,7 +587,7 @@
                     Err(e) => Err(e.to_string()),
                 },
                 Wire::MySql(session) => {
-                    self.dirty.push(at);
+                    self.pools.dirty.push(at);
                     match session.read(&mut conn.input, &mut conn.output) {
                         Ok(None) => break,
                         Ok(Some(event)) => {
@@ -527,15 +603,15 @@
                 return self.engine_gone(at, End::Broken);
             }
         }
-        if end != ReadEnd::Later {
+        if matches!(end, ReadEnd::Eof | ReadEnd::Broken) {
             self.engine_gone(at, End::Broken);
         }
     }
 
     fn response(&mut self, at: usize, mut response: http::Response) {
-        let now_us = self.now_us;
-        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
-        let Role::Engine(link) = &mut peer.role else { return };
+        let now_us = self.time.now_us;
+        let Some(peer) = self.pools.peers.get_mut(at).and_then(Option::as_mut) else { return };
+        let link = &mut peer.link;
         // The answer may be good, but what stands behind it would be taken for the next one.
         response.close |= !peer.conn.input.is_empty();
         match link.job {
@@ -549,7 +625,7 @@
             }
             Job::Delete(_) => self.engine_gone(at, End::Broken),
             Job::Attempt(id) => {
-                let Some(attempt) = self.attempts.get_mut(&id) else {
+                let Some(attempt) = self.pools.attempts.get_mut(&id) else {
                     return self.release_or_close(at, response.close);
                 };
                 let Course::Http { exchange, .. } = &mut attempt.course else { return };
@@ -568,7 +644,7 @@
                         }
                         link.asked_us = now_us;
                         peer.conn.output.append(&mut next);
-                        self.dirty.push(at);
+                        self.pools.dirty.push(at);
                     }
                     http::Step::Spoilt => {
                         tracing::debug!(ticket = attempt.ticket, status = response.status, "a spoilt answer");
@@ -588,7 +664,7 @@
                         if outcome == Outcome::Success {
                             match exchange.rows() {
                                 Some(rows) => {
-                                    self.results.insert(id, Payload::Text(rows));
+                                    self.pools.results.insert(id, Payload::Text(rows));
                                 }
                                 None => outcome = Outcome::Failure,
                             }
@@ -602,7 +678,7 @@
     }
 
     fn mysql_event(&mut self, at: usize, event: mysql::Event) {
-        let Some(super::Peer { conn, role: Role::Engine(link), .. }) = self.peer(at) else { return };
+        let Some(Peer { conn, link, .. }) = self.pools.peer(at) else { return };
         let (job, engine) = (link.job, link.engine);
         match (&event, job) {
             (mysql::Event::Up, Job::Attempt(_) | Job::Delete(_)) => self.post_if_up(at),
@@ -610,10 +686,10 @@
             (mysql::Event::Prepared, Job::Attempt(id)) => {
                 if !self.may_send_to(engine) {
                     // It was prepared there and nothing more: it never ran.
-                    self.close(at);
+                    self.pools.close(&self.poll, &mut self.timers, at);
                     return self.end_attempt(id, Outcome::Void, None);
                 }
-                if let Some(super::Peer { conn, role: Role::Engine(link), .. }) = self.peer(at) {
+                if let Some(Peer { conn, link, .. }) = self.pools.peer(at) {
                     if let Wire::MySql(session) = &mut link.wire {
                         session.execute(&mut conn.output);
                     }
@@ -622,7 +698,7 @@
             (mysql::Event::Done(result), Job::Attempt(id)) => {
                 // An error of the statement's own is the engine's last word on it, as rows are: no other
                 // engine would say more, and none of them is ill for it.
-                self.results.insert(id, Payload::MySql(result.clone()));
+                self.pools.results.insert(id, Payload::MySql(result.clone()));
                 self.release(at);
                 self.end_attempt(id, Outcome::Success, None);
             }
@@ -632,7 +708,7 @@
                 self.end_attempt(id, Outcome::Failure, None);
             }
             (mysql::Event::TurnedAway(e), Job::Attempt(id)) => {
-                self.close(at);
+                self.pools.close(&self.poll, &mut self.timers, at);
                 self.end_attempt(id, turned_away(e), None);
             }
             // The other connection was ended, or had ended by itself: the attempt is over. After any other
@@ -657,21 +733,30 @@
 
     fn release_or_close(&mut self, at: usize, close: bool) {
         if close {
-            self.close(at);
+            self.pools.close(&self.poll, &mut self.timers, at);
         } else {
             self.release(at);
         }
     }
 
+    fn forget_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
+        let attempt = self.pools.attempts.remove(&id)?;
+        self.requests.free_ticket(&attempt.ticket);
+        if let Some(timer) = attempt.unheard {
+            self.timers.cancel(timer);
+        }
+        Some(attempt)
+    }
+
     /// The attempt is over; the core is told how.
     pub(super) fn end_attempt(&mut self, id: AttemptId, outcome: Outcome, report: Option<Report>) {
-        let Some(attempt) = self.attempts.remove(&id) else { return };
+        let Some(attempt) = self.forget_attempt(id) else { return };
         self.desert(attempt.link, id);
         tracing::debug!(
             ticket = attempt.ticket,
             number = id.1,
             engine = attempt.engine.0,
-            now_us = self.now_us,
+            now_us = self.time.now_us,
             ?outcome,
             "ended"
         );
@@ -679,14 +764,9 @@
         self.inputs.push(Input::Ended(id.0, id.1, outcome, report));
     }
 
-    /// Whether an attempt with this id is out, or being given up.
-    pub(super) fn is_out(&self, ticket: &str) -> bool {
-        self.attempts.values().any(|a| a.ticket.eq_ignore_ascii_case(ticket))
-    }
-
     /// Whether no byte that runs this attempt has been written.
     fn is_unsent(&self, id: AttemptId, wire: &Wire) -> bool {
-        match (self.attempts.get(&id).map(|a| &a.course), wire) {
+        match (self.pools.attempts.get(&id).map(|a| &a.course), wire) {
             (Some(Course::Http { start, .. }), _) => start.is_some(),
             (Some(Course::MySql { work }), Wire::MySql(s)) => work.is_some() || !s.may_have_run(),
             _ => false,
@@ -695,10 +775,10 @@
 
     /// A connection to an engine is over, and what it was there for goes on without it.
     pub(super) fn engine_gone(&mut self, at: usize, end: End) {
-        let Some(Role::Engine(link)) = self.close(at) else { return };
+        let Some(link) = self.pools.close(&self.poll, &mut self.timers, at) else { return };
         match link.job {
             Job::Idle { .. } => {
-                if let Some(e) = self.engines.get_mut(&link.engine) {
+                if let Some(e) = self.pools.engines.get_mut(&link.engine) {
                     e.idle.iter_mut().for_each(|idle| idle.retain(|i| *i != at));
                 }
             }
@@ -717,7 +797,7 @@
     /// bad is told to give the query up.
     fn resume(&mut self, id: AttemptId, over: &Link, end: End) {
         let unsent = self.is_unsent(id, &over.wire);
-        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
         let again = attempt.retries > 0;
         match (over.tongue(), end) {
             _ if attempt.stopping && !unsent => return,
@@ -737,7 +817,7 @@
         self.counters.asked_again += 1;
         match self.connect(over.engine, Job::Attempt(id), Tongue::Http) {
             Ok(at) => {
-                if let Some(attempt) = self.attempts.get_mut(&id) {
+                if let Some(attempt) = self.pools.attempts.get_mut(&id) {
                     attempt.link = at;
                 }
                 self.post_if_up(at);
@@ -750,7 +830,9 @@
 
     /// The call that gives an attempt up broke off: it is made again, as long as its end is waited for.
     fn tell_again(&mut self, id: AttemptId, over: &Link) {
-        let Some(attempt) = self.attempts.get_mut(&id).filter(|a| a.retries < MOST_RETRIES) else { return };
+        let Some(attempt) = self.pools.attempts.get_mut(&id).filter(|a| a.retries < MOST_RETRIES) else {
+            return;
+        };
         attempt.retries += 1;
         if let (Wire::Http, Ok(at)) = (&over.wire, self.connect(over.engine, Job::Delete(id), Tongue::Http)) {
             self.post_if_up(at);
@@ -759,7 +841,7 @@
 
     /// Nothing was heard of the end of an attempt that was given up.
     pub(super) fn unheard(&mut self, id: AttemptId) {
-        let Some(attempt) = self.attempts.remove(&id) else { return };
+        let Some(attempt) = self.forget_attempt(id) else { return };
         self.desert(attempt.link, id);
         tracing::debug!(ticket = attempt.ticket, number = id.1, engine = attempt.engine.0, "unheard");
         self.counters.ended(Outcome::TimedOut);
@@ -768,45 +850,47 @@
 
     /// A connection no longer works for this attempt.
     fn desert(&mut self, at: usize, id: AttemptId) {
-        let now_us = self.now_us;
-        let Some(super::Peer { role: Role::Engine(link), .. }) = self.peer(at) else { return };
+        let now_us = self.time.now_us;
+        let Some(Peer { link, .. }) = self.pools.peer(at) else { return };
         if link.job == Job::Attempt(id) {
             link.job = Job::Stray { since_us: now_us };
+            let tongue = link.tongue();
+            self.pools.dirty.push(at);
             // A MySQL connection that was ended for its work is of no more use.
-            if link.tongue() == Tongue::MySql {
-                self.close(at);
+            if tongue == Tongue::MySql {
+                self.pools.close(&self.poll, &mut self.timers, at);
             }
         }
     }
 
     /// Gives an attempt up: at once if it was never sent, else when the engine has been told.
     pub(super) fn stop(&mut self, id: AttemptId) {
-        let going = self.attempts.get(&id).filter(|a| !a.stopping);
+        let going = self.pools.attempts.get(&id).filter(|a| !a.stopping);
         let Some((engine, link)) = going.map(|a| (a.engine, a.link)) else { return };
         self.counters.stopped += 1;
         let (mut tongue, mut thread) = (Tongue::Http, 0);
         // Its connection may be closed, and its place another's.
-        let own = |p: &&super::Peer| matches!(&p.role, Role::Engine(l) if l.job == Job::Attempt(id));
-        let peer = self.peers.get(link).and_then(Option::as_ref).filter(own);
-        if let Some(super::Peer { role: Role::Engine(l), .. }) = peer {
+        let own = |p: &&Peer| p.link.job == Job::Attempt(id);
+        let peer = self.pools.peers.get(link).and_then(Option::as_ref).filter(own);
+        if let Some(Peer { link: l, .. }) = peer {
             tongue = l.tongue();
             if let Wire::MySql(session) = &l.wire {
                 thread = session.thread;
             }
             if self.is_unsent(id, &l.wire) {
-                self.close(link);
+                self.pools.close(&self.poll, &mut self.timers, link);
                 return self.end_attempt(id, Outcome::Void, None);
             }
         }
-        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
         attempt.thread = thread;
         attempt.retries = 0;
-        tracing::debug!(ticket = attempt.ticket, number = id.1, now_us = self.now_us, "given up");
+        tracing::debug!(ticket = attempt.ticket, number = id.1, now_us = self.time.now_us, "given up");
         attempt.stopping = true;
         if let Course::Http { exchange, .. } = &mut attempt.course {
             exchange.give_up();
         }
-        self.alarms.push(Reverse((self.now_us + UNHEARD_US, Alarm::Unheard(id.0, id.1))));
+        attempt.unheard = Some(self.timers.arm(self.time.now_us + UNHEARD_US, Alarm::Unheard(id)));
         match self.link(engine, Job::Delete(id), tongue, None) {
             Ok(at) => self.post_if_up(at),
             Err(Outcome::Unreachable) => self.end_attempt(id, Outcome::Withdrawn, None),
@@ -816,20 +900,20 @@
 
     /// Tells an engine of a new priority.
     pub(super) fn rank(&mut self, id: AttemptId, priority: u8) {
-        let Some(attempt) = self.attempts.get(&id).filter(|a| !a.stopping) else { return };
+        let Some(attempt) = self.pools.attempts.get(&id).filter(|a| !a.stopping) else { return };
         if !matches!(attempt.course, Course::Http { start: None, .. }) {
             return;
         }
         let (engine, ticket) = (attempt.engine, attempt.ticket.clone());
         // Only over an idle connection: a new one for each would cost more than the change is worth.
-        let idle = self.engines.get_mut(&engine).and_then(|e| e.idle[Tongue::Http as usize].pop());
+        let idle = self.pools.engines.get_mut(&engine).and_then(|e| e.idle[Tongue::Http as usize].pop());
         let Some(at) = idle else { return };
-        let now_us = self.now_us;
-        if let Some(super::Peer { conn, role: Role::Engine(link), .. }) = self.peer(at) {
+        let now_us = self.time.now_us;
+        if let Some(Peer { conn, link, .. }) = self.pools.peer(at) {
             link.job = Job::Stray { since_us: now_us };
             http::put(&ticket, priority, &mut conn.output);
         }
-        self.dirty.push(at);
+        self.pools.dirty.push(at);
     }
 }
 
@@ -872,11 +956,11 @@
         };
         for n in 0..100 {
             server.listed(&event(n, EngineState::Ready));
-            assert_eq!(server.engine_ids[&format!("e{n}")], EngineId(n as u32));
+            assert_eq!(server.pools.ids[&format!("e{n}")], EngineId(n as u32));
             if n > 0 {
                 server.listed(&event(n - 1, EngineState::Gone));
             }
         }
-        assert_eq!((server.engines.len(), server.engine_ids.len()), (1, 1));
+        assert_eq!((server.pools.engines.len(), server.pools.ids.len()), (1, 1));
     }
 }
--- a/gateway/src/net/feed.rs
+++ b/gateway/src/net/feed.rs
@@ -2,53 +2,81 @@
 
 use std::net::SocketAddr;
 
+use wrenhatch_sessions::wheel::TimerId;
+
 use super::conn::{Conn, Phase, ReadEnd};
-use super::{FIRST_CONN, Role, Server};
+use super::poll::Interest;
+use super::{Alarm, FEED, Server};
 use crate::config::ListEvent;
 use crate::coordinator;
 
 /// A comment comes each second; a stream without one for this long is dead.
 const SILENCE_US: u64 = 2_500_000;
 /// Between two tries to open the stream.
-pub(super) const RETRY_US: u64 = 200_000;
+const RETRY_US: u64 = 200_000;
 
 /// Where the stream stands.
 pub struct Feed {
     last: u64,
-    at: Option<usize>,
+    up: Option<(Conn, coordinator::Stream)>,
+    /// Tells this stream from others before it, for the poller.
+    serial: u32,
+    opened_us: Option<u64>,
     heard_us: u64,
+    /// Rings when the stream must be opened, or when it has been silent for too long.
+    timer: Option<TimerId>,
     /// The event that could not be read when it came last.
     unreadable: u64,
 }
 
 impl Feed {
     pub(super) fn new(last: u64) -> Self {
-        Self { last, at: None, heard_us: 0, unreadable: 0 }
+        Self { last, up: None, serial: 0, opened_us: None, heard_us: 0, timer: None, unreadable: 0 }
+    }
+
+    fn key(&self) -> u64 {
+        FEED | u64::from(self.serial)
     }
 }
 
 impl Server {
     /// Opens the stream where it is down, drops it where it is silent.
     pub(super) fn look_at_feed(&mut self) {
-        if let Some(at) = self.feed.at {
-            if self.now_us.saturating_sub(self.feed.heard_us) > SILENCE_US {
-                tracing::warn!("the coordinator is silent");
-                self.feed_lost(at);
+        let now_us = self.time.now_us;
+        if self.feed.up.is_some() {
+            if now_us.saturating_sub(self.feed.heard_us) <= SILENCE_US {
+                return self.await_feed();
             }
+            tracing::warn!("the coordinator is silent");
+            self.close_feed();
         }
-        let (None, Some(address)) = (self.feed.at, self.config.coordinator) else { return };
-        let at = self.place();
-        match Conn::connect(&self.poll, address, at + FIRST_CONN, 1 << 20) {
+        let Some(address) = self.config.coordinator else { return };
+        // A coordinator that ends its streams at once is not asked without a pause.
+        if self.feed.opened_us.is_some_and(|at| now_us < at + RETRY_US) {
+            return self.await_feed();
+        }
+        self.feed.opened_us = Some(now_us);
+        self.feed.serial = self.feed.serial.wrapping_add(1);
+        match Conn::connect(&self.poll, address, self.feed.key(), 1 << 20) {
             Ok(mut conn) => {
                 coordinator::open(self.feed.last, &mut conn.output);
-                self.put(at, conn, Role::Feed(coordinator::Stream::default()));
-                (self.feed.at, self.feed.heard_us) = (Some(at), self.now_us);
+                self.feed.up = Some((conn, coordinator::Stream::default()));
+                self.feed.heard_us = now_us;
                 self.counters.list_connects += 1;
             }
-            Err(e) => {
-                tracing::warn!("coordinator at {address}: {e}");
-                self.free.push(at);
-            }
+            Err(e) => tracing::warn!("coordinator at {address}: {e}"),
+        }
+        self.await_feed();
+    }
+
+    /// Sets the timer for what is due next.
+    fn await_feed(&mut self) {
+        let due_us = match (&self.feed.up, self.feed.opened_us) {
+            (Some(_), _) => self.feed.heard_us + SILENCE_US + 1,
+            (None, opened) => opened.map_or(self.time.now_us, |at| at + RETRY_US),
+        };
+        if !self.feed.timer.is_some_and(|timer| self.timers.rearm(timer, due_us)) {
+            self.feed.timer = Some(self.timers.arm(due_us, Alarm::Feed));
         }
     }
 
@@ -57,9 +85,8 @@
         if self.config.coordinator.replace(to) == Some(to) {
             return;
         }
-        if let Some(at) = self.feed.at {
-            self.feed_lost(at);
-        }
+        self.close_feed();
+        self.feed.opened_us = None;
         self.look_at_feed();
     }
 
@@ -71,14 +98,43 @@
         }
     }
 
-    pub(super) fn feed_read(&mut self, at: usize, end: ReadEnd) {
-        self.feed.heard_us = self.now_us;
-        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
-        let Role::Feed(stream) = &mut peer.role else { return };
-        debug_assert!(peer.conn.phase == Phase::Open);
+    pub(super) fn feed_ready(&mut self, key: u64, interest: Interest) {
+        if key != self.feed.key() {
+            return;
+        }
+        let Some((conn, _)) = &mut self.feed.up else { return };
+        if conn.phase == Phase::Connecting {
+            if !interest.write && !interest.read {
+                return;
+            }
+            if conn.finish_connect().is_err() {
+                return self.feed_lost();
+            }
+        }
+        if interest.read {
+            if conn.is_cut_off() {
+                return self.feed_lost();
+            }
+            let end = conn.fill(usize::MAX);
+            self.feed_read(end);
+        }
+        self.flush_feed();
+    }
+
+    fn flush_feed(&mut self) {
+        let key = self.feed.key();
+        let Some((conn, _)) = &mut self.feed.up else { return };
+        if conn.phase != Phase::Connecting && (conn.flush().is_err() || conn.update(&self.poll, key).is_err())
+        {
+            self.feed_lost();
+        }
+    }
+
+    fn feed_read(&mut self, end: ReadEnd) {
+        self.feed.heard_us = self.time.now_us;
+        let Some((conn, stream)) = &mut self.feed.up else { return };
         let mut events = Vec::new();
-        let read = stream.read(&mut peer.conn.input, &mut events);
-        self.dirty.push(at);
+        let read = stream.read(&mut conn.input, &mut events);
         events.iter().for_each(|event| self.list_event(event));
         if let Err(e) = read {
             tracing::warn!("{e}");
@@ -90,15 +146,22 @@
                 }
                 self.feed.unreadable = id;
             }
-            return self.feed_lost(at);
+            return self.feed_lost();
         }
-        if end != ReadEnd::Later {
-            self.feed_lost(at);
+        if matches!(end, ReadEnd::Eof | ReadEnd::Broken) {
+            return self.feed_lost();
+        }
+        self.await_feed();
+    }
+
+    fn close_feed(&mut self) {
+        if let Some((conn, _)) = self.feed.up.take() {
+            conn.close(&self.poll);
         }
     }
 
-    pub(super) fn feed_lost(&mut self, at: usize) {
-        self.close(at);
-        self.feed.at = None;
+    fn feed_lost(&mut self) {
+        self.close_feed();
+        self.await_feed();
     }
 }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -1,49 +1,58 @@
 //! The network: one poll loop, connections, the descriptor budget, and engines' connection pools.
 //!
 //! A turn reads the clock once, gathers all that is ready, hands it to the core in one go and carries out
-//! the commands that come back.
+//! the commands that come back. Each concern keeps its own state: `sessions` (clients), `pools` (engines), `feed`
+//! (the list), `doors` (listeners), and one timing wheel for whatever is due.
 
 pub mod conn;
 pub mod poll;
 
 mod clients;
+mod doors;
 mod engines;
 mod feed;
-mod places;
+mod pools;
 mod reload;
+mod requests;
+mod sessions;
+
+pub use sessions::{PARKED_BYTES, SESSION_BYTES, most_clients as most_sessions};
 
-use std::cell::Cell;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
-use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
 use notchridge::interface::*;
+use wrenhatch_sessions::governor::Work;
+use wrenhatch_sessions::table::Handle;
+use wrenhatch_sessions::wheel::Wheel;
 
-use crate::config::{Config, ListEvent, Names};
+use crate::config::{Config, Names};
 use crate::core::{Command, Core, Input};
 use crate::counters::Counters;
-use crate::front::Run;
-use clients::{Client, Front};
-use conn::{Conn, Phase};
-use engines::{Attempt, End, Engine, Link};
-use poll::{Interest, Poll};
-
-const PG_LISTENER: usize = 0;
-const MYSQL_LISTENER: usize = 1;
-const TERM: usize = 2;
-const PRINT: usize = 3;
-const RELOAD: usize = 4;
-const FIRST_CONN: usize = 16;
+use crate::lateness::Lateness;
+use doors::{Doors, Front};
+use poll::{Interest, Poll, Told};
+use requests::{Request, Requests};
+use sessions::Sessions;
+
+// Keys of the poller: fixed ones, and those of connections with their generations, so that no event reaches a
+// connection that has another's place.
+const PG_LISTENER: u64 = 0;
+const MYSQL_LISTENER: u64 = 1;
+const TERM: u64 = 2;
+const PRINT: u64 = 3;
+const RELOAD: u64 = 4;
+const SESSION: u64 = 1 << 62;
+const LINK: u64 = 2 << 62;
+const FEED: u64 = 3 << 62;
 
 /// How long new work is still taken after SIGTERM, in microseconds.
 const GOING_US: u64 = 700_000;
 
-/// Descriptors beside connections: listeners, poller, signals, standard streams, one being accepted.
-const OWN_DESCRIPTORS: usize = 32;
+/// Descriptors beside connections: listeners, poller, signals, standard streams, one being accepted, the spare.
+pub const OWN_DESCRIPTORS: usize = 32;
 
 /// Why the gateway can't serve.
 #[derive(Debug, thiserror::Error)]
@@ -59,42 +68,32 @@
     Settings(#[from] SettingsError),
 }
 
-enum Role {
-    Client(Client),
-    Engine(Link),
-    Feed(crate::coordinator::Stream),
-}
-
-struct Peer {
-    conn: Conn,
-    role: Role,
-    /// Tells this connection from others that had its place, for timers.
-    serial: u64,
-}
-
-/// A request that is owed an answer.
-struct Request {
-    client: usize,
-    ticket: String,
-    class: ClassId,
-    statement: Vec<u8>,
-    run: Run,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Alarm {
-    /// A connection must be up by now.
-    ConnectBy(usize, u64),
+    /// Something must have happened on a connection to an engine.
+    Link(usize, u32),
     /// The end of an attempt that was given up should have been heard by now.
-    Unheard(RequestId, u32),
+    Unheard(engines::AttemptId),
     /// A client must have got on by now: started its session, ended its message, read its last word.
-    ClientBy(usize, u64),
-    /// Idle connections are looked through.
-    Sweep,
+    Client(Handle),
+    /// The session that has been idle for longest may have been so for too long.
+    IdleLimit,
     /// The coordinator's stream is looked at.
     Feed,
     /// The configuration's file is read again; how often that has failed.
     Reload(u32),
+    /// Descriptors may be there again for new connections.
+    Doors,
+    /// The time for taking new work is over.
+    Going,
+}
+
+/// The clock, read once a turn.
+struct Time {
+    clock: Instant,
+    now_us: u64,
+    unix_offset_us: i128,
+    stopping_since: Option<u64>,
 }
 
 /// The running gateway.
@@ -104,44 +103,22 @@
     core: Core,
     counters: Counters,
     poll: Poll,
-    clock: Instant,
-    now_us: u64,
-    unix_offset_us: i128,
-    pg: Option<TcpListener>,
-    mysql: Option<TcpListener>,
-    /// The next handle of a prepared statement, over all sessions.
-    handles: Rc<Cell<u32>>,
-    peers: Vec<Option<Peer>>,
-    free: Vec<usize>,
-    /// Places given up in this turn: what it still has to tell of them must not meet another connection.
-    left_free: Vec<usize>,
-    serials: u64,
-    dirty: Vec<usize>,
-    clients: usize,
-    engine_conns: usize,
-    requests: BTreeMap<RequestId, Request>,
-    next_request: u64,
-    engines: BTreeMap<EngineId, Engine>,
-    engine_ids: HashMap<String, EngineId>,
-    /// Ids given out so far: one is never given out again.
-    engines_met: u32,
-    attempts: BTreeMap<(RequestId, u32), Attempt>,
-    results: BTreeMap<(RequestId, u32), crate::front::Payload>,
-    inputs: Vec<Input>,
-    alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
+    time: Time,
+    timers: Wheel<Alarm>,
+    lateness: Lateness,
+    doors: Doors,
+    sessions: Sessions,
+    requests: Requests,
+    pools: pools::Pools,
     feed: feed::Feed,
-    known: VecDeque<ListEvent>,
-    secrets: u64,
-    stopping_since: Option<u64>,
+    inputs: Vec<Input>,
 }
 
 impl Server {
     /// Listens and takes in the list of engines known so far.
     pub fn new(mut config: Config) -> Result<Self, ServeError> {
-        let listen = config.listen;
         let poll = Poll::new()?;
-        let pg = listener(&poll, listen, PG_LISTENER)?;
-        let mysql = config.mysql.as_ref().map(|m| listener(&poll, m.listen, MYSQL_LISTENER)).transpose()?;
+        let doors = Doors::open(&config, &poll)?;
         let (last, known) = std::mem::take(&mut config.known);
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let mut server = Self {
@@ -149,46 +126,30 @@
             names: std::mem::take(&mut config.names),
             counters: Counters::default(),
             poll,
-            clock: Instant::now(),
-            now_us: 0,
-            unix_offset_us: i128::try_from(unix.as_micros()).unwrap_or(0),
-            pg: Some(pg),
-            mysql,
-            handles: Rc::new(Cell::new((config.seed as u32).max(1))),
-            peers: Vec::new(),
-            free: Vec::new(),
-            left_free: Vec::new(),
-            serials: 0,
-            dirty: Vec::new(),
-            clients: 0,
-            engine_conns: 0,
-            requests: BTreeMap::new(),
-            next_request: 1,
-            engines: BTreeMap::new(),
-            engine_ids: HashMap::new(),
-            engines_met: 0,
-            attempts: BTreeMap::new(),
-            results: BTreeMap::new(),
-            inputs: Vec::new(),
-            alarms: BinaryHeap::new(),
+            time: Time {
+                clock: Instant::now(),
+                now_us: 0,
+                unix_offset_us: i128::try_from(unix.as_micros()).unwrap_or(0),
+                stopping_since: None,
+            },
+            timers: Wheel::new(),
+            lateness: Lateness::default(),
+            doors,
+            sessions: Sessions::new(&config),
+            requests: Requests::default(),
+            pools: pools::Pools::default(),
             feed: feed::Feed::new(last),
-            known: known.into(),
-            secrets: config.seed,
-            stopping_since: None,
+            inputs: Vec::new(),
             config,
         };
-        server.alarms.push(Reverse((0, Alarm::Sweep)));
-        server.alarms.push(Reverse((0, Alarm::Feed)));
-        while let Some(event) = server.known.pop_front() {
-            server.listed(&event);
-        }
+        server.timers.arm(0, Alarm::Feed);
+        known.iter().for_each(|event| server.listed(event));
         Ok(server)
     }
 
     /// Where clients connect: PostgreSQL and MySQL.
     pub fn addresses(&self) -> (Option<String>, Option<String>) {
-        let at = |l: &Option<TcpListener>| Some(l.as_ref()?.local_addr().ok()?.to_string());
-        (at(&self.pg), at(&self.mysql))
+        (self.doors.address(Front::Pg), self.doors.address(Front::MySql))
     }
 
     /// Serves until SIGTERM has come and all that was taken is answered. SIGUSR1 prints the counters, SIGHUP
@@ -198,32 +159,48 @@
         let print = signal_pipe(signal_hook::consts::SIGUSR1)?;
         let reload = signal_pipe(signal_hook::consts::SIGHUP)?;
         for (pipe, key) in [(&term, TERM), (&print, PRINT), (&reload, RELOAD)] {
-            self.poll.add(pipe, key, Interest { read: true, write: false })?;
+            self.poll.add(pipe, key, Interest { read: true, write: false }, Told::Always)?;
         }
+        let mut ready = Vec::new();
         loop {
-            let ready = self.poll.wait(self.timeout())?;
-            self.now_us = self.clock.elapsed().as_micros() as u64;
-            for (key, interest) in ready {
-                match key {
-                    PG_LISTENER => self.accept(Front::Pg),
-                    MYSQL_LISTENER => self.accept(Front::MySql),
-                    TERM => {
+            let timeout = self.timeout();
+            self.poll.wait(timeout, &mut ready)?;
+            self.time.now_us = self.time.clock.elapsed().as_micros() as u64;
+            self.counters.turns += 1;
+            let mut doors = [false; 2];
+            for (key, interest) in ready.iter().copied() {
+                match (key, key >> 62 << 62) {
+                    (PG_LISTENER, _) => doors[0] = true,
+                    (MYSQL_LISTENER, _) => doors[1] = true,
+                    (TERM, _) => {
                         drain(&term);
-                        self.stopping_since.get_or_insert(self.now_us);
-                        tracing::info!("SIGTERM: taking for 0.7 s more");
+                        self.stop_taking();
                     }
-                    PRINT => {
+                    (PRINT, _) => {
                         drain(&print);
-                        tracing::info!(counters = %self.counters, open = self.core.open_requests());
+                        self.print();
                     }
-                    RELOAD => {
+                    (RELOAD, _) => {
                         drain(&reload);
                         self.reload(0);
                     }
-                    _ => self.ready(key - FIRST_CONN, interest),
+                    (_, LINK) => {
+                        self.sessions.governor.charge(Work::Event, 1);
+                        if let Some(at) = self.pools.at(key) {
+                            self.link_ready(at, interest);
+                        }
+                    }
+                    (_, FEED) => self.feed_ready(key, interest),
+                    (_, SESSION) => self.session_ready(key, interest),
+                    _ => {}
                 }
             }
             self.ring();
+            // What came from engines may have ended requests: that goes out before anything new is read.
+            for (front, _) in [Front::Pg, Front::MySql].into_iter().zip(doors).filter(|(_, open)| *open) {
+                self.accept(front);
+            }
+            self.read_sessions();
             self.turn();
             if self.is_done() {
                 return Ok(self.counters);
@@ -231,34 +208,56 @@
         }
     }
 
+    fn stop_taking(&mut self) {
+        if self.time.stopping_since.is_none() {
+            self.time.stopping_since = Some(self.time.now_us);
+            self.timers.arm(self.time.now_us + GOING_US, Alarm::Going);
+        }
+        tracing::info!("SIGTERM: taking for 0.7 s more");
+    }
+
+    fn print(&self) {
+        tracing::info!(
+            counters = %self.counters,
+            open = self.core.open_requests(),
+            timers = self.timers.len() + self.core.timers(),
+            sessions = %self.sessions,
+            lateness = %self.lateness.with(self.core.lateness()),
+        );
+    }
+
     /// Hands what has come to the core and carries out what it wants.
     fn turn(&mut self) {
         let mut inputs = std::mem::take(&mut self.inputs);
         let mut commands = Vec::new();
-        self.core.turn(self.now_us, &mut inputs, &mut commands);
+        self.core.turn(self.time.now_us, &mut inputs, &mut commands);
         for command in commands {
             self.carry_out(command);
         }
-        self.results.clear();
-        while let Some(at) = self.dirty.pop() {
-            self.flush(at);
+        while let Some(at) = self.pools.dirty.pop() {
+            self.settle_link(at);
         }
-        self.free.append(&mut self.left_free);
+        while let Some(who) = self.sessions.dirty.pop() {
+            self.settle_session(who);
+        }
+        self.relieve();
+        self.pools.end_turn();
     }
 
-    fn timeout(&self) -> Option<Duration> {
-        if !self.inputs.is_empty() {
+    /// How long to wait, at the end of a turn: the second of its two looks at the clock, which tells the governor
+    /// what the turn has cost.
+    fn timeout(&mut self) -> Option<Duration> {
+        let now_us = self.time.clock.elapsed().as_micros() as u64;
+        self.sessions.governor.end_turn(now_us.saturating_sub(self.time.now_us));
+        if !self.inputs.is_empty() || self.sessions.governor.waiting() > 0 {
             return Some(Duration::ZERO);
         }
-        let own = self.alarms.peek().map(|Reverse((at, _))| *at);
-        let going = self.stopping_since.map(|at| at + GOING_US).filter(|at| *at > self.now_us);
-        let next = [own, self.core.next_alarm_us(), going].into_iter().flatten().min()?;
-        let now = self.clock.elapsed().as_micros() as u64;
-        Some(Duration::from_micros(next.saturating_sub(now)))
+        let next_us = [self.timers.next_us(), self.core.next_alarm_us()].into_iter().flatten().min()?;
+        Some(Duration::from_micros(next_us.saturating_sub(now_us)))
     }
 
     fn is_going(&self) -> bool {
-        self.stopping_since.is_some_and(|at| self.now_us >= at + GOING_US)
+        self.time.stopping_since.is_some_and(|at| self.time.now_us >= at + GOING_US)
     }
 
     /// After the time for taking, all that was taken is finished and written out.
@@ -266,44 +265,24 @@
         if !self.is_going() {
             return false;
         }
-        for listener in [self.pg.take(), self.mysql.take()].into_iter().flatten() {
-            self.poll.remove(&listener);
-        }
-        let writing = |p: &Peer| matches!(p.role, Role::Client(_)) && !p.conn.output.is_empty();
+        self.doors.close(&self.poll);
         // Attempts that were given up are still told so at their engines.
-        self.requests.is_empty() && self.inputs.is_empty() && !self.peers.iter().flatten().any(writing)
+        self.requests.open.is_empty() && self.inputs.is_empty() && !self.sessions.is_writing()
     }
 
     fn ring(&mut self) {
-        while let Some(Reverse((at, alarm))) = self.alarms.peek().copied() {
-            if at > self.now_us {
-                break;
-            }
-            self.alarms.pop();
+        while let Some((due_us, alarm)) = self.timers.pop(self.time.now_us) {
+            self.lateness.note(due_us, self.time.now_us);
+            self.sessions.governor.charge(Work::Event, 1);
             match alarm {
-                Alarm::ConnectBy(at, serial) => {
-                    let coming = |p: &mut Peer| match &p.role {
-                        Role::Engine(link) => link.is_coming_up(p.conn.phase),
-                        _ => p.conn.phase == Phase::Connecting,
-                    };
-                    let late = self.peer(at).is_some_and(|p| p.serial == serial && coming(p));
-                    match self.peer(at).map(|p| &p.role) {
-                        Some(Role::Engine(_)) if late => self.engine_gone(at, End::Late),
-                        _ if late => self.lost(at),
-                        _ => {}
-                    }
-                }
-                Alarm::Unheard(request, attempt) => self.unheard((request, attempt)),
-                Alarm::ClientBy(at, serial) => self.client_late(at, serial),
-                Alarm::Sweep => {
-                    self.sweep();
-                    self.alarms.push(Reverse((self.now_us + 50_000, Alarm::Sweep)));
-                }
-                Alarm::Feed => {
-                    self.look_at_feed();
-                    self.alarms.push(Reverse((self.now_us + feed::RETRY_US, Alarm::Feed)));
-                }
+                Alarm::Link(at, serial) => self.link_late(at, serial),
+                Alarm::Unheard(id) => self.unheard(id),
+                Alarm::Client(who) => self.client_late(who),
+                Alarm::IdleLimit => self.close_long_idle(),
+                Alarm::Feed => self.look_at_feed(),
                 Alarm::Reload(failures) => self.reload(failures),
+                Alarm::Doors => self.doors.resume(&self.poll),
+                Alarm::Going => {}
             }
         }
     }
@@ -318,110 +297,6 @@
             Command::Serve(..) | Command::Refuse(..) | Command::Fail(_) => self.answer(command),
         }
     }
-
-    fn peer(&mut self, at: usize) -> Option<&mut Peer> {
-        self.peers.get_mut(at).and_then(Option::as_mut)
-    }
-
-    /// Finds a place for a connection; its key in the poller is the place after [`FIRST_CONN`].
-    fn place(&mut self) -> usize {
-        self.free.pop().unwrap_or_else(|| {
-            self.peers.push(None);
-            self.peers.len() - 1
-        })
-    }
-
-    fn put(&mut self, at: usize, conn: Conn, role: Role) -> u64 {
-        self.serials += 1;
-        self.peers[at] = Some(Peer { conn, role, serial: self.serials });
-        self.serials
-    }
-
-    /// The one place where a connection is closed.
-    fn close(&mut self, at: usize) -> Option<Role> {
-        let peer = self.peers.get_mut(at)?.take()?;
-        peer.conn.close(&self.poll);
-        self.left_free.push(at);
-        match peer.role {
-            Role::Client(_) => self.clients -= 1,
-            Role::Engine(_) => self.engine_conns -= 1,
-            Role::Feed(_) => {}
-        }
-        Some(peer.role)
-    }
-
-    fn ready(&mut self, at: usize, interest: Interest) {
-        let Some(peer) = self.peer(at) else { return };
-        if peer.conn.phase == Phase::Connecting {
-            if !interest.write && !interest.read {
-                return;
-            }
-            match peer.conn.finish_connect() {
-                Ok(()) => {}
-                // Only this proves that no process is there: a reset strikes connections of living ones too.
-                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => return self.refused(at),
-                Err(_) => return self.lost(at),
-            }
-            self.connected(at);
-        }
-        if interest.write {
-            self.dirty.push(at);
-        }
-        if interest.read {
-            let Some(peer) = self.peer(at) else { return };
-            if peer.conn.is_cut_off() {
-                return self.lost(at);
-            }
-            let end = peer.conn.fill();
-            match peer.role {
-                Role::Client(_) => self.client_read(at, end),
-                Role::Engine(_) => self.engine_read(at, end),
-                Role::Feed(_) => self.feed_read(at, end),
-            }
-        }
-    }
-
-    /// Writes what a connection has to say and waits for what it wants next.
-    fn flush(&mut self, at: usize) {
-        let Some(peer) = self.peers.get_mut(at).and_then(Option::as_mut) else { return };
-        if peer.conn.phase == Phase::Connecting {
-            return;
-        }
-        let waited = peer.conn.output.len() > conn::MOST_UNSENT;
-        let broken = peer.conn.flush().is_err() || peer.conn.update(&self.poll, at + FIRST_CONN).is_err();
-        let resumed = waited && peer.conn.output.len() <= conn::MOST_UNSENT && peer.conn.phase == Phase::Open;
-        let client = matches!(peer.role, Role::Client(_));
-        if broken {
-            self.lost(at);
-        } else if resumed && client {
-            self.client_messages(at);
-        }
-    }
-
-    /// A connection was refused.
-    fn refused(&mut self, at: usize) {
-        match self.peer(at).map(|p| &p.role) {
-            Some(Role::Engine(_)) => self.engine_gone(at, End::Refused),
-            _ => self.lost(at),
-        }
-    }
-
-    /// A connection broke.
-    fn lost(&mut self, at: usize) {
-        match self.peer(at).map(|p| &p.role) {
-            Some(Role::Client(_)) => self.client_lost(at),
-            Some(Role::Engine(_)) => self.engine_gone(at, End::Broken),
-            Some(Role::Feed(_)) => self.feed_lost(at),
-            None => {}
-        }
-    }
-}
-
-fn listener(poll: &Poll, address: SocketAddr, key: usize) -> Result<TcpListener, ServeError> {
-    let listener = TcpListener::bind(address).map_err(|e| ServeError::Listen(address, e))?;
-    listener.set_nonblocking(true)?;
-    poll.add(&listener, key, Interest { read: true, write: false })?;
-    Ok(listener)
 }
 
 fn signal_pipe(signal: i32) -> io::Result<UnixStream> {
--- a/gateway/src/net/reload.rs
+++ b/gateway/src/net/reload.rs
@@ -1,7 +1,5 @@
 //! SIGHUP: the configuration's file is read again while the gateway serves.
 
-use std::cmp::Reverse;
-
 use super::{Alarm, Server};
 use crate::config;
 
@@ -27,7 +25,7 @@
             }
             Err(e) if failures + 1 < MOST_TRIES => {
                 tracing::debug!("configuration: {e}; trying again");
-                self.alarms.push(Reverse((self.now_us + RETRY_US, Alarm::Reload(failures + 1))));
+                self.timers.arm(self.time.now_us + RETRY_US, Alarm::Reload(failures + 1));
             }
             Err(e) => tracing::error!("configuration: {e}; the old settings are kept"),
         }
--- /dev/null
+++ b/gateway/src/net/requests.rs
@@ -0,0 +1,97 @@
+//! Requests that are owed an answer, and the ids that are under way.
+
+use std::collections::{BTreeMap, HashMap};
+
+use notchridge::interface::{ClassId, RequestId};
+use wrenhatch_sessions::table::Handle;
+
+use crate::front::Run;
+
+/// A request that is owed an answer.
+pub struct Request {
+    pub client: Handle,
+    pub ticket: String,
+    pub class: ClassId,
+    pub statement: Vec<u8>,
+    pub run: Run,
+}
+
+impl Request {
+    /// Bytes that it takes, for the ledger.
+    pub fn bytes(&self) -> usize {
+        let params = match &self.run {
+            Run::Execute(params) => params.iter().map(|p| 64 + p.value.as_ref().map_or(0, Vec::len)).sum(),
+            Run::Simple | Run::Query => 0,
+        };
+        // Its copy for an attempt stands beside it until that is written.
+        size_of::<Self>() + self.ticket.len() + 2 * self.statement.len() + params
+    }
+}
+
+/// Requests that are owed an answer.
+#[derive(Default)]
+pub struct Requests {
+    pub open: BTreeMap<RequestId, Request>,
+    given: u64,
+    /// How many requests and attempts go by an id; engines know a query by nothing else.
+    tickets: HashMap<u64, u32>,
+}
+
+fn number(ticket: &str) -> u64 {
+    u64::from_str_radix(ticket, 16).unwrap_or(u64::MAX)
+}
+
+impl Requests {
+    /// The number of the next request; it has never been given before.
+    pub fn next(&mut self) -> RequestId {
+        self.given += 1;
+        RequestId(self.given)
+    }
+
+    pub fn insert(&mut self, id: RequestId, request: Request) {
+        self.take_ticket(&request.ticket);
+        self.open.insert(id, request);
+    }
+
+    pub fn remove(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.open.remove(&id)?;
+        self.free_ticket(&request.ticket);
+        Some(request)
+    }
+
+    /// Whether a request or an attempt with this id is under way.
+    pub fn is_under_way(&self, ticket: &str) -> bool {
+        self.tickets.contains_key(&number(ticket))
+    }
+
+    pub fn take_ticket(&mut self, ticket: &str) {
+        *self.tickets.entry(number(ticket)).or_default() += 1;
+    }
+
+    pub fn free_ticket(&mut self, ticket: &str) {
+        let number = number(ticket);
+        if let Some(n) = self.tickets.get_mut(&number) {
+            *n -= 1;
+            if *n == 0 {
+                self.tickets.remove(&number);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_id_is_under_way_until_the_last_that_goes_by_it_has_ended() {
+        let mut requests = Requests::default();
+        requests.take_ticket("00000000000000aB");
+        requests.take_ticket("00000000000000ab");
+        requests.free_ticket("00000000000000AB");
+        assert!(requests.is_under_way("00000000000000Ab") && !requests.is_under_way("00000000000000ac"));
+        requests.free_ticket("00000000000000ab");
+        requests.free_ticket("00000000000000ab");
+        assert!(!requests.is_under_way("00000000000000ab"));
+    }
+}
--- /dev/null
+++ b/gateway/src/operator.rs
@@ -0,0 +1,293 @@
+//! The operator's file: settings that the platform does not give, in TOML, checked before anything starts. What
+//! is not in it has its default; what it does not know, or what makes no sense, is named with file, line and key.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, de::Error};
+use toml::Spanned;
+
+use crate::config::{Clients, Config, Keepalive, MySql};
+use crate::engine::mysql::Login;
+use crate::tenants::{Account, Directory};
+
+/// A mistake in an operator's file.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{path}:{line}: {key}{message}")]
+pub struct Mistake {
+    /// The file.
+    pub path: String,
+    /// The line, from 1.
+    pub line: usize,
+    /// The key with a colon behind it; empty where the mistake is that of no key.
+    pub key: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// Why an operator's file can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorError {
+    /// It can't be read.
+    #[error("{0}: {1}")]
+    File(String, std::io::Error),
+    /// Something in it is wrong.
+    #[error(transparent)]
+    Mistake(#[from] Mistake),
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct File {
+    clients: ClientsTable,
+    mysql: Option<MySqlTable>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct ClientsTable {
+    most_sessions: Option<Spanned<usize>>,
+    #[serde(deserialize_with = "idle_limit")]
+    idle_limit_s: Option<u64>,
+    #[serde(deserialize_with = "backlog")]
+    backlog: u64,
+    keepalive: Option<KeepaliveTable>,
+    #[serde(deserialize_with = "turn")]
+    turn_ms: u64,
+    #[serde(deserialize_with = "messages")]
+    messages_per_turn: u64,
+    #[serde(deserialize_with = "bytes")]
+    bytes_per_turn: u64,
+}
+
+impl Default for ClientsTable {
+    fn default() -> Self {
+        let clients = Clients::default();
+        Self {
+            most_sessions: None,
+            idle_limit_s: None,
+            backlog: clients.backlog.into(),
+            keepalive: None,
+            turn_ms: clients.turn_us / 1000,
+            messages_per_turn: clients.messages as u64,
+            bytes_per_turn: clients.bytes as u64,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeepaliveTable {
+    #[serde(deserialize_with = "probe_time")]
+    idle_s: u64,
+    #[serde(deserialize_with = "probe_time")]
+    interval_s: u64,
+    #[serde(deserialize_with = "probes")]
+    probes: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MySqlTable {
+    listen: SocketAddr,
+    login: LoginTable,
+    #[serde(default)]
+    users: BTreeMap<String, UserTable>,
+    #[serde(default)]
+    engines: BTreeMap<String, SocketAddr>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LoginTable {
+    user: String,
+    #[serde(default)]
+    password: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct UserTable {
+    tenant: Spanned<String>,
+    #[serde(default)]
+    password: String,
+}
+
+fn within<'de, D: Deserializer<'de>>(d: D, range: RangeInclusive<u64>) -> Result<u64, D::Error> {
+    let n = i64::deserialize(d)?;
+    let wrong = || D::Error::custom(format!("{n} is not within {} and {}", range.start(), range.end()));
+    u64::try_from(n).ok().filter(|n| range.contains(n)).ok_or_else(wrong)
+}
+
+fn idle_limit<'de, D: Deserializer<'de>>(d: D) -> Result<Option<u64>, D::Error> {
+    within(d, 1..=31_536_000).map(Some)
+}
+
+fn backlog<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    within(d, 1..=65_535)
+}
+
+fn turn<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    within(d, 1..=100)
+}
+
+fn messages<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    within(d, 1..=10_000)
+}
+
+fn bytes<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    within(d, 1_024..=16 << 20)
+}
+
+fn probe_time<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    within(d, 1..=32_767)
+}
+
+fn probes<'de, D: Deserializer<'de>>(d: D) -> Result<u64, D::Error> {
+    within(d, 1..=127)
+}
+
+/// Connections to engines without which there is no service.
+const LEAST_ENGINE_CONNS: usize = 8;
+
+/// Reads the file and puts what it says into the configuration.
+///
+/// # Errors
+/// The file can't be read, or holds a mistake.
+pub fn apply(path: &str, config: &mut Config) -> Result<(), OperatorError> {
+    let text = std::fs::read_to_string(path).map_err(|e| OperatorError::File(path.to_owned(), e))?;
+    Ok(apply_text(path, &text, config)?)
+}
+
+fn apply_text(path: &str, text: &str, config: &mut Config) -> Result<(), Mistake> {
+    let mistake = |at: usize, message: String| {
+        let before = text.get(..at).unwrap_or(text);
+        let line = before.matches('\n').count();
+        let on_it = text.lines().nth(line).unwrap_or_default();
+        let key = on_it.split_once('=').map(|(key, _)| format!("{}: ", key.trim())).unwrap_or_default();
+        Mistake { path: path.to_owned(), line: line + 1, key, message }
+    };
+    let file: File = toml::from_str(text).map_err(|e| {
+        let start = e.span().map_or(0, |span| span.start);
+        mistake(start, e.message().replace('\n', " "))
+    })?;
+    let table = file.clients;
+    if let Some(most) = &table.most_sessions {
+        let room = config.sockets.saturating_sub(crate::net::OWN_DESCRIPTORS + LEAST_ENGINE_CONNS);
+        if !(1..=room).contains(most.get_ref()) {
+            let message = format!(
+                "{} is not within 1 and {room}, which is what {} descriptors leave beside engines",
+                most.get_ref(),
+                config.sockets
+            );
+            return Err(mistake(most.span().start, message));
+        }
+    }
+    config.clients = Clients {
+        most: table.most_sessions.map(Spanned::into_inner),
+        idle_limit_us: table.idle_limit_s.map(|s| s * 1_000_000),
+        backlog: table.backlog as u32,
+        keepalive: table.keepalive.map(|k| Keepalive {
+            idle: Duration::from_secs(k.idle_s),
+            interval: Duration::from_secs(k.interval_s),
+            probes: k.probes as u32,
+        }),
+        turn_us: table.turn_ms * 1000,
+        messages: table.messages_per_turn as usize,
+        bytes: table.bytes_per_turn as usize,
+    };
+    let Some(table) = file.mysql else { return Ok(()) };
+    let mut accounts = Vec::new();
+    for (user, entry) in table.users {
+        if !config.names.tenants.contains(entry.tenant.get_ref()) {
+            let message = format!("no tenant of the settings is called {}", entry.tenant.get_ref());
+            return Err(mistake(entry.tenant.span().start, message));
+        }
+        let tenant = entry.tenant.into_inner().into();
+        accounts.push((user, Account { tenant, password: entry.password }));
+    }
+    config.mysql = Some(MySql {
+        listen: table.listen,
+        directory: Rc::new(Directory::new(accounts)),
+        engines: table.engines,
+        login: Login { user: table.login.user, password: table.login.password },
+    });
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::{self, Node};
+
+    fn config() -> Config {
+        let text = include_str!("../tests/common/config.json").replace("LIST", "");
+        config::read(&Node::root(&text.parse().unwrap(), "config")).unwrap()
+    }
+
+    const EXAMPLE: &str = include_str!("../../deploy/wrenhatch.example.toml");
+
+    #[test]
+    fn the_example_shows_every_key_with_its_default() {
+        let mut config = config();
+        apply_text("f", EXAMPLE, &mut config).unwrap();
+        assert_eq!((config.clients, config.mysql), (Clients::default(), None));
+        // What is off stands there as a comment; taken in, it must be understood, and nothing may be missing.
+        let uncommented: String = EXAMPLE
+            .lines()
+            .map(|l| match l.strip_prefix("# ") {
+                Some(rest) if rest.starts_with('[') || rest.contains(" = ") => format!("{rest}\n"),
+                _ => format!("{l}\n"),
+            })
+            .collect();
+        let file: File = toml::from_str(&uncommented).unwrap();
+        let ClientsTable { most_sessions, idle_limit_s, keepalive, .. } = &file.clients;
+        assert!(most_sessions.is_some() && idle_limit_s.is_some() && keepalive.is_some());
+        let mysql = file.mysql.unwrap();
+        assert!(!mysql.users.is_empty() && !mysql.engines.is_empty());
+        for key in ["backlog", "turn_ms", "messages_per_turn", "bytes_per_turn"] {
+            assert!(EXAMPLE.lines().any(|l| l.starts_with(&format!("{key} = "))), "{key}");
+        }
+    }
+
+    #[test]
+    fn mistakes_name_file_line_and_key() {
+        let error = |text: &str| apply_text("f.toml", text, &mut config()).unwrap_err().to_string();
+        assert_eq!(
+            error("[clients]\nbacklog = 10\nturn_ms = 0\n"),
+            "f.toml:3: turn_ms: 0 is not within 1 and 100"
+        );
+        assert!(error("\n[clients]\nidle_limit = 3\n").starts_with("f.toml:3: idle_limit: unknown field"));
+        assert!(error("[client]\n").starts_with("f.toml:1: unknown field `client`"));
+        assert!(error("[clients]\nbacklog = \"9\"\n").starts_with("f.toml:2: backlog: invalid type"));
+        assert!(error("[clients]\nbacklog = \n").starts_with("f.toml:2: backlog: "));
+        assert!(
+            error("[clients]\nmost_sessions = 240\n")
+                .starts_with("f.toml:2: most_sessions: 240 is not within 1 and 216")
+        );
+        let mysql = "[mysql]\nlisten = \"127.0.0.1:1\"\nlogin = { user = \"g\" }\n[mysql.users.u]\n";
+        assert_eq!(
+            error(&format!("{mysql}tenant = \"other\"\n")),
+            "f.toml:5: tenant: no tenant of the settings is called other"
+        );
+        assert!(error("[mysql]\nlisten = \"here\"\n").starts_with("f.toml:2: listen: "));
+    }
+
+    #[test]
+    fn what_it_says_is_taken_over() {
+        let mut config = config();
+        let text = "[clients]\nmost_sessions = 100\nidle_limit_s = 60\n\
+            keepalive = { idle_s = 30, interval_s = 5, probes = 3 }\n\
+            [mysql]\nlisten = \"127.0.0.1:1\"\nlogin = { user = \"g\" }\n\
+            [mysql.users]\nu = { tenant = \"acme\" }\n[mysql.engines]\ne = \"127.0.0.1:2\"\n";
+        apply_text("f", text, &mut config).unwrap();
+        assert_eq!((config.clients.most, config.clients.idle_limit_us), (Some(100), Some(60_000_000)));
+        assert_eq!(config.clients.keepalive.unwrap().probes, 3);
+        let mysql = config.mysql.unwrap();
+        assert_eq!(mysql.directory.look_up("u").unwrap().tenant.as_ref(), "acme");
+        assert_eq!(mysql.engines["e"], ([127, 0, 0, 1], 2).into());
+    }
+}
--- a/gateway/src/tenants.rs
+++ b/gateway/src/tenants.rs
@@ -1,12 +1,13 @@
 //! Tenant look-up: who a user is, apart from wires and decisions, so that a directory can take its place.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// What is known of a user.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Account {
     /// The tenant it belongs to, named as in the settings.
-    pub tenant: String,
+    pub tenant: Rc<str>,
     /// Its password; may be empty.
     pub password: String,
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -387,6 +387,17 @@
 
     /// The same, with a coordinator that knows more than the start.
     pub fn start_with(engines: &[&Engine], mysql: bool, coordinator: Option<SocketAddr>) -> Self {
+        Self::start_as(engines, mysql, coordinator, "", None)
+    }
+
+    /// The same, with an operator's file and a limit on the process's descriptors.
+    pub fn start_as(
+        engines: &[&Engine],
+        mysql: bool,
+        coordinator: Option<SocketAddr>,
+        operator: &str,
+        descriptors: Option<u32>,
+    ) -> Self {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("wrenhatch-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -396,19 +407,28 @@
             config = config.replace("\"known\":", &format!("\"coordinator\":\"{address}\",\"known\":"));
         }
         std::fs::write(folder.join("config.json"), config).unwrap();
-        let addresses: Vec<String> =
-            engines.iter().map(|e| format!("\"{}\":\"{}\"", e.name, e.mysql)).collect();
-        let operators = format!(
-            "{{\"listen\":\"127.0.0.1:0\",\"users\":{{\"unit\":{{\"tenant\":\"acme\",\"password\":\"pw\"}}}},\"engines\":{{{}}},\"login\":{{\"user\":\"gw\",\"password\":\"secret\"}}}}",
-            addresses.join(",")
-        );
-        std::fs::write(folder.join("mysql.json"), operators).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_wrenhatch"));
-        command.arg("serve").env("LB_CONFIG", folder.join("config.json")).env("LB_NAME", "t");
-        command.env("LB_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).stdout(Stdio::null());
+        let mut operator = operator.to_owned();
         if mysql {
-            command.arg("--mysql").arg(folder.join("mysql.json"));
+            operator += "\n[mysql]\nlisten = \"127.0.0.1:0\"\n\
+                login = { user = \"gw\", password = \"secret\" }\n\
+                [mysql.users]\nunit = { tenant = \"acme\", password = \"pw\" }\n[mysql.engines]\n";
+            for engine in engines {
+                operator += &format!("{} = \"{}\"\n", engine.name, engine.mysql);
+            }
         }
+        std::fs::write(folder.join("operator.toml"), operator).unwrap();
+        let program = env!("CARGO_BIN_EXE_wrenhatch");
+        let mut command = match descriptors {
+            None => Command::new(program),
+            Some(n) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.args(["-c", &format!("ulimit -n {n}; exec \"$0\" \"$@\""), program]);
+                shell
+            }
+        };
+        command.arg("serve").env("LB_CONFIG", folder.join("config.json")).env("LB_NAME", "t");
+        command.env("LB_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).stdout(Stdio::null());
+        command.arg("--config").arg(folder.join("operator.toml"));
         let mut child = command.spawn().unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let serving =
--- /dev/null
+++ b/lab/src/helper.rs
@@ -0,0 +1,224 @@
+//! A process that holds idle sessions, as no single one has descriptors for all of them. It takes commands on its
+//! standard input, a line each, and answers each with a line of JSON.
+
+use std::io::{BufRead, ErrorKind, Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use serde::{Deserialize, Serialize};
+use socket2::{Domain, Protocol, Socket, Type};
+use wrenhatch::net::poll::{Interest, Poll, Told};
+
+use crate::Front;
+use crate::spread::{Spread, histogram};
+
+/// What a command came to.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Done {
+    /// Sessions that did what they were to do.
+    pub done: usize,
+    /// Sessions that got neither an answer nor a refusal.
+    pub lost: usize,
+    /// How long it took from the first to the last, in milliseconds.
+    pub ms: f64,
+    /// The 99th percentile of the single ones, in milliseconds.
+    pub p99_ms: f64,
+    /// The longest single one, in milliseconds.
+    pub max_ms: f64,
+}
+
+/// How long an answer is waited for.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A session of either front, started.
+pub fn open(address: SocketAddr, source: IpAddr, front: Front) -> anyhow::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    socket.connect(&address.into())?;
+    let mut stream = TcpStream::from(socket);
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    match front {
+        Front::Pg => {
+            let body = b"\0\x03\0\0user\0app\0database\0warehouse\0\0";
+            let mut start = (body.len() as u32 + 4).to_be_bytes().to_vec();
+            start.extend(body);
+            stream.write_all(&start)?;
+            read_until_ready(&mut stream)?;
+        }
+        Front::Mysql => {
+            packet(&mut stream)?;
+            // Protocol 4.1 with native passwords, an empty one.
+            let mut hello = (0x1_u32 | 0x200 | 0x8000 | 0x8_0000).to_le_bytes().to_vec();
+            hello.extend([0, 0, 0, 1, 45]);
+            hello.extend([0; 23]);
+            hello.extend(b"unit\0\0mysql_native_password\0");
+            let mut sent = (hello.len() as u32).to_le_bytes()[..3].to_vec();
+            sent.push(1);
+            sent.extend(hello);
+            stream.write_all(&sent)?;
+            let answer = packet(&mut stream)?;
+            anyhow::ensure!(answer.first() == Some(&0), "the login was refused");
+        }
+    }
+    Ok(stream)
+}
+
+fn packet(stream: &mut TcpStream) -> anyhow::Result<Vec<u8>> {
+    let mut head = [0; 4];
+    stream.read_exact(&mut head)?;
+    let mut body = vec![0; usize::from(head[0]) | usize::from(head[1]) << 8];
+    stream.read_exact(&mut body)?;
+    Ok(body)
+}
+
+/// Reads PostgreSQL messages until the session is ready; the SQLSTATE of an error among them.
+pub fn read_until_ready(stream: &mut TcpStream) -> anyhow::Result<Option<String>> {
+    let mut error = None;
+    loop {
+        let mut head = [0; 5];
+        stream.read_exact(&mut head)?;
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let mut body = vec![0; length.checked_sub(4).context("a bad length")?];
+        stream.read_exact(&mut body)?;
+        match head[0] {
+            b'Z' => return Ok(error),
+            b'E' => {
+                let code = body.split(|b| *b == 0).find_map(|f| f.strip_prefix(b"C"));
+                let code = String::from_utf8_lossy(code.unwrap_or_default()).into_owned();
+                // An error of this severity ends the session.
+                if body.starts_with(b"SFATAL") {
+                    bail!("ended with {code}");
+                }
+                error = Some(code);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A message that an engine has nothing to do with, and the bytes of its answer.
+fn nothing_asked(front: Front) -> (&'static [u8], usize) {
+    match front {
+        Front::Pg => (b"Q\0\0\0\x05\0", 11),
+        Front::Mysql => (b"\x01\0\0\0\x0e", 11),
+    }
+}
+
+struct Held {
+    address: SocketAddr,
+    source: IpAddr,
+    front: Front,
+    sessions: Vec<TcpStream>,
+}
+
+impl Held {
+    fn open(&mut self, n: usize) -> anyhow::Result<Done> {
+        let began = Instant::now();
+        let mut each = histogram();
+        for _ in 0..n {
+            let one = Instant::now();
+            self.sessions.push(open(self.address, self.source, self.front)?);
+            each.saturating_record(one.elapsed().as_micros() as u64);
+        }
+        Ok(done(n, 0, began.elapsed(), &Spread::from(&each)))
+    }
+
+    /// Has the first `n` sessions ask for nothing, all at once.
+    fn wake(&mut self, n: usize) -> anyhow::Result<Done> {
+        let (ask, answer) = nothing_asked(self.front);
+        let mut poll = Poll::new()?;
+        let began = Instant::now();
+        let n = n.min(self.sessions.len());
+        let mut sent = Vec::with_capacity(n);
+        for (at, stream) in self.sessions[..n].iter_mut().enumerate() {
+            stream.write_all(ask)?;
+            sent.push(Instant::now());
+            stream.set_nonblocking(true)?;
+            poll.add(stream, at as u64, Interest { read: true, write: false }, Told::Once)?;
+        }
+        let mut owed = vec![answer; n];
+        let (mut each, mut answered, mut lost) = (histogram(), 0, 0);
+        let mut last = began;
+        let mut ready = Vec::new();
+        while answered + lost < n && began.elapsed() < PATIENCE {
+            poll.wait(Some(Duration::from_millis(100)), &mut ready)?;
+            for (key, _) in &ready {
+                let at = *key as usize;
+                let mut bytes = [0; 64];
+                loop {
+                    match self.sessions[at].read(&mut bytes) {
+                        Ok(n) if n > 0 && owed[at] > 0 => {
+                            owed[at] = owed[at].saturating_sub(n);
+                            if owed[at] == 0 {
+                                answered += 1;
+                                last = Instant::now();
+                                each.saturating_record(sent[at].elapsed().as_micros() as u64);
+                            }
+                        }
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                        _ => {
+                            lost += usize::from(std::mem::take(&mut owed[at]) > 0);
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+        for stream in &self.sessions[..n] {
+            poll.remove(stream);
+            stream.set_nonblocking(false)?;
+        }
+        Ok(done(answered, n - answered, last - began, &Spread::from(&each)))
+    }
+
+    /// Opens `n` sessions anew before the ends of as many old ones are heard.
+    fn reconnect(&mut self, n: usize) -> anyhow::Result<Done> {
+        let n = n.min(self.sessions.len());
+        let opened = self.open(n)?;
+        self.sessions.drain(..n).for_each(drop);
+        Ok(opened)
+    }
+
+    /// Opens and closes sessions for so long.
+    fn churn(&mut self, span: Duration) -> anyhow::Result<Done> {
+        let (began, mut each, mut count) = (Instant::now(), histogram(), 0);
+        while began.elapsed() < span {
+            let one = Instant::now();
+            let stream = open(self.address, self.source, self.front)?;
+            each.saturating_record(one.elapsed().as_micros() as u64);
+            // A port in TIME_WAIT is no use to anyone here; the gateway hears of the end first.
+            stream.shutdown(Shutdown::Write)?;
+            count += 1;
+        }
+        Ok(done(count, 0, began.elapsed(), &Spread::from(&each)))
+    }
+}
+
+fn done(done: usize, lost: usize, took: Duration, each: &Spread) -> Done {
+    Done { done, lost, ms: took.as_secs_f64() * 1e3, p99_ms: each.p99_ms, max_ms: each.max_ms }
+}
+
+/// Holds sessions and does as it is told until its input ends.
+pub fn run(address: SocketAddr, source: IpAddr, front: Front, connections: usize) -> anyhow::Result<()> {
+    let mut held = Held { address, source, front, sessions: Vec::new() };
+    for line in std::io::stdin().lock().lines() {
+        let line = line?;
+        let (word, number) = line.split_once(' ').unwrap_or((&line, "0"));
+        let number: usize = number.parse()?;
+        let done = match word {
+            "open" => held.open(connections)?,
+            "wake" => held.wake(number)?,
+            "reconnect" => held.reconnect(number)?,
+            "churn" => held.churn(Duration::from_millis(number as u64))?,
+            "close" => {
+                held.sessions.clear();
+                Done::default()
+            }
+            other => bail!("no such command: {other}"),
+        };
+        println!("{}", serde_json::to_string(&done)?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/lab/src/memory.rs
@@ -0,0 +1,153 @@
+//! The session table, the wheel and the governor without sockets, at sizes that sockets don't reach.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use wrenhatch::net::{PARKED_BYTES, SESSION_BYTES};
+use wrenhatch_sessions::governor::{Governor, Limits, Standing};
+use wrenhatch_sessions::table::{Handle, Table, Use};
+use wrenhatch_sessions::wheel::Wheel;
+
+use crate::fleet::resident_bytes;
+use crate::spread::{Spread, histogram};
+
+/// As large as the gateway's own parts.
+type Sessions = Table<[u64; PARKED_BYTES / 8], [u64; SESSION_BYTES / 8]>;
+
+/// What was found.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    sessions: usize,
+    resident_bytes_per_session: f64,
+    slot_bytes: usize,
+    /// After all have been woken, parked, ended and taken in again; no growth means no more than before.
+    resident_bytes_after_reuse: f64,
+    wake_half_ms: f64,
+    yield_ns: f64,
+    timers: usize,
+    timer_drift: Spread,
+    timer_wakeups: u64,
+    timer_cpu_percent: f64,
+}
+
+fn park(table: &mut Sessions, who: Handle, now_us: u64) {
+    table.set_use(who, Use::Idle, now_us);
+    table.park(who, |hot| Ok([hot[0]; PARKED_BYTES / 8]));
+}
+
+fn take_in(table: &mut Sessions, n: usize) -> Vec<Handle> {
+    (0..n)
+        .map(|i| {
+            let who = table.insert(i as u64, Box::new([i as u64; SESSION_BYTES / 8]));
+            park(table, who, i as u64);
+            who
+        })
+        .collect()
+}
+
+/// Wakes half of all sessions at once, as the governor lets them; how long that takes.
+fn wake_half(table: &mut Sessions, all: &[Handle], now_us: u64) -> Duration {
+    let mut governor = Governor::new(Limits::default());
+    let began = Instant::now();
+    for who in all.iter().step_by(2) {
+        if table.mark(*who) {
+            governor.ready(*who, Standing::Woken, who.index % 1000, now_us);
+        }
+    }
+    while governor.waiting() > 0 {
+        let turn = Instant::now();
+        while let Some(pick) = governor.pick(now_us) {
+            if table.unmark(pick.who) {
+                table.wake(pick.who, now_us, |cold| Box::new([cold[0]; SESSION_BYTES / 8]));
+                park(table, pick.who, now_us);
+            }
+        }
+        governor.end_turn(turn.elapsed().as_micros() as u64);
+    }
+    began.elapsed()
+}
+
+/// Time-outs of 3 s and 20 s for all, armed over one second, in real time. Each tells how late it was.
+fn drift(n: usize) -> (Spread, u64, f64) {
+    let mut wheel = Wheel::new();
+    let clock = Instant::now();
+    let now = || clock.elapsed().as_micros() as u64;
+    let span_us = if n > 0 { 1e6 / n as f64 } else { 0.0 };
+    for i in 0..n {
+        let spread_us = (i as f64 * span_us) as u64;
+        wheel.arm(spread_us + if i % 2 == 0 { 3_000_000 } else { 20_000_000 }, i);
+    }
+    let mut late = histogram();
+    let (mut wakeups, mut busy) = (0, Duration::ZERO);
+    while let Some(at_us) = wheel.next_us() {
+        let now_us = now();
+        if at_us > now_us {
+            std::thread::sleep(Duration::from_micros(at_us - now_us));
+        }
+        let (began, now_us) = (Instant::now(), now());
+        wakeups += 1;
+        while let Some((due_us, value)) = wheel.pop(now_us) {
+            black_box(value);
+            late.saturating_record(now_us - due_us);
+        }
+        busy += began.elapsed();
+    }
+    (Spread::from(&late), wakeups, 100.0 * busy.as_secs_f64() / clock.elapsed().as_secs_f64())
+}
+
+/// Measures all of it for `n` sessions.
+pub fn measure(n: usize) -> anyhow::Result<Figures> {
+    let before = resident_bytes(std::process::id())?;
+    let mut table = Sessions::new();
+    let mut all = Vec::with_capacity(n);
+    // The list of handles is the experiment's, not the table's.
+    let list_bytes = n * size_of::<Handle>();
+    all.extend(take_in(&mut table, n));
+    let per_session = |bytes: u64| (bytes.saturating_sub(before) as f64 - list_bytes as f64) / n as f64;
+    let first = per_session(resident_bytes(std::process::id())?);
+    let wake = wake_half(&mut table, &all, n as u64);
+    let began = Instant::now();
+    let rounds = 100_000;
+    for _ in 0..rounds {
+        black_box(table.yields(black_box(n as u64)));
+    }
+    let yield_ns = began.elapsed().as_nanos() as f64 / f64::from(rounds);
+    for who in all.drain(..) {
+        table.remove(who);
+    }
+    all.extend(take_in(&mut table, n));
+    let again = per_session(resident_bytes(std::process::id())?);
+    let (timer_drift, timer_wakeups, timer_cpu_percent) = drift(n);
+    Ok(Figures {
+        sessions: table.len(),
+        resident_bytes_per_session: first,
+        slot_bytes: Sessions::slot_bytes(),
+        resident_bytes_after_reuse: again,
+        wake_half_ms: wake.as_secs_f64() * 1e3,
+        yield_ns,
+        timers: n,
+        timer_drift,
+        timer_wakeups,
+        timer_cpu_percent,
+    })
+}
+
+impl std::fmt::Display for Figures {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "sessions in memory           {}", self.sessions)?;
+        writeln!(
+            f,
+            "resident for each            {:.0} bytes (slot {}), after reuse {:.0}",
+            self.resident_bytes_per_session, self.slot_bytes, self.resident_bytes_after_reuse
+        )?;
+        writeln!(f, "half woken and parked again  {:.1} ms", self.wake_half_ms)?;
+        writeln!(f, "place to yield               {:.0} ns", self.yield_ns)?;
+        writeln!(f, "drift of 3 s and 20 s timers {}", self.timer_drift)?;
+        write!(
+            f,
+            "wake-ups for these timers    {} ({:.2}% of a core)",
+            self.timer_wakeups, self.timer_cpu_percent
+        )
+    }
+}
--- /dev/null
+++ b/lab/src/spread.rs
@@ -0,0 +1,41 @@
+//! Figures of many samples.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// How samples in microseconds spread.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Spread {
+    /// How many there are.
+    pub count: u64,
+    /// Median, in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+    /// The largest, in milliseconds.
+    pub max_ms: f64,
+}
+
+/// A histogram of microseconds up to ten minutes, with three digits.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are sound")
+}
+
+impl From<&Histogram<u64>> for Spread {
+    fn from(h: &Histogram<u64>) -> Self {
+        let ms = |us: u64| us as f64 / 1e3;
+        Self {
+            count: h.len(),
+            p50_ms: ms(h.value_at_quantile(0.5)),
+            p99_ms: ms(h.value_at_quantile(0.99)),
+            max_ms: ms(h.max()),
+        }
+    }
+}
+
+impl std::fmt::Display for Spread {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { count, p50_ms, p99_ms, max_ms } = self;
+        write!(f, "median {p50_ms:.3} ms, p99 {p99_ms:.3} ms, max {max_ms:.3} ms of {count}")
+    }
+}
