--- /dev/null
+++ b/sessions/src/wheel.rs
@@ -0,0 +1,339 @@
+//! A hierarchical timing wheel of one microsecond's resolution (Varghese and Lauck, 1987, scheme 7), with levels
+//! chosen by the highest digit in which a timer differs from the time reached, as in a radix heap.
+//!
+//! - Arm, re-arm and cancel take constant time; a timer moves down at most once for each level on its way.
+//! - A cancelled timer is gone at once: no tombstone stays behind.
+//! - Timers fire in the order of their times, those of one microsecond in the order in which they were armed.
+//!   None fires early; how late one fires is the caller's matter alone, as it asks [`Wheel::pop`] when it likes.
+//! - One armed for a time that has passed is due at once, behind all that are due at the time reached.
+
+const BITS: u32 = 6;
+const SLOTS: usize = 1 << BITS;
+/// Sixty bits of microseconds: 36,000 years. Later times are taken for the last of these.
+const LEVELS: usize = 10;
+const LAST_US: u64 = (1 << (BITS * LEVELS as u32)) - 1;
+const NONE: u32 = u32::MAX;
+/// No slot: the entry is free.
+const FREE: u16 = u16::MAX;
+
+/// Names an armed timer. Once it has fired or was cancelled the name means nothing, whatever has its place since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerId {
+    index: u32,
+    generation: u32,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    at_us: u64,
+    previous: u32,
+    next: u32,
+    generation: u32,
+    slot: u16,
+    value: Option<T>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    first: u32,
+    last: u32,
+    /// No timer here is due before; exact unless the first one was cancelled.
+    least_us: u64,
+}
+
+const EMPTY: Slot = Slot { first: NONE, last: NONE, least_us: u64::MAX };
+
+/// A wheel of timers that carry a `T` each.
+#[derive(Debug)]
+pub struct Wheel<T> {
+    reached_us: u64,
+    entries: Vec<Entry<T>>,
+    free: u32,
+    armed: usize,
+    occupied: [u64; LEVELS],
+    slots: Box<[Slot]>,
+}
+
+impl<T> Default for Wheel<T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<T> Wheel<T> {
+    /// A wheel at time 0 without timers.
+    pub fn new() -> Self {
+        Self {
+            reached_us: 0,
+            entries: Vec::new(),
+            free: NONE,
+            armed: 0,
+            occupied: [0; LEVELS],
+            slots: vec![EMPTY; LEVELS * SLOTS].into(),
+        }
+    }
+
+    /// Timers that are armed.
+    pub fn len(&self) -> usize {
+        self.armed
+    }
+
+    /// Whether no timer is armed.
+    pub fn is_empty(&self) -> bool {
+        self.armed == 0
+    }
+
+    /// Bytes of heap that the wheel holds.
+    pub fn heap_bytes(&self) -> usize {
+        self.entries.capacity() * size_of::<Entry<T>>() + self.slots.len() * size_of::<Slot>()
+    }
+
+    /// Arms a timer for `at_us`.
+    pub fn arm(&mut self, at_us: u64, value: T) -> TimerId {
+        let at_us = at_us.min(LAST_US);
+        let index = if self.free == NONE {
+            self.entries.push(Entry {
+                at_us,
+                previous: NONE,
+                next: NONE,
+                generation: 0,
+                slot: FREE,
+                value: None,
+            });
+            (self.entries.len() - 1) as u32
+        } else {
+            let index = self.free;
+            self.free = self.entries[index as usize].next;
+            index
+        };
+        let entry = &mut self.entries[index as usize];
+        (entry.at_us, entry.value) = (at_us, Some(value));
+        let generation = entry.generation;
+        self.armed += 1;
+        self.link(index);
+        TimerId { index, generation }
+    }
+
+    /// Moves a timer to another time; false if it is not armed any more.
+    pub fn rearm(&mut self, id: TimerId, at_us: u64) -> bool {
+        if !self.is_armed(id) {
+            return false;
+        }
+        self.unlink(id.index);
+        self.entries[id.index as usize].at_us = at_us.min(LAST_US);
+        self.link(id.index);
+        true
+    }
+
+    /// Takes a timer out; `None` if it is not armed any more.
+    pub fn cancel(&mut self, id: TimerId) -> Option<T> {
+        if !self.is_armed(id) {
+            return None;
+        }
+        self.unlink(id.index);
+        self.release(id.index)
+    }
+
+    /// Whether this timer has neither fired nor been cancelled.
+    pub fn is_armed(&self, id: TimerId) -> bool {
+        let entry = self.entries.get(id.index as usize);
+        entry.is_some_and(|e| e.generation == id.generation && e.slot != FREE)
+    }
+
+    /// A time before which nothing is due, `None` without timers. It is the time of the next timer, or sooner
+    /// by less than its slot's span where one that was due before it has been cancelled; each slot errs once.
+    pub fn next_us(&self) -> Option<u64> {
+        let level = self.occupied.iter().position(|o| *o != 0)?;
+        let slot = self.occupied[level].trailing_zeros() as usize;
+        Some(self.slots[level * SLOTS + slot].least_us)
+    }
+
+    /// Takes the next timer that is due by `now_us`, with the time it was armed for.
+    pub fn pop(&mut self, now_us: u64) -> Option<(u64, T)> {
+        loop {
+            let Some(level) = self.occupied.iter().position(|o| *o != 0) else {
+                self.reached_us = self.reached_us.max(now_us.min(LAST_US));
+                return None;
+            };
+            let digit = u64::from(self.occupied[level].trailing_zeros());
+            let at = level * SLOTS + digit as usize;
+            let shift = BITS * level as u32;
+            // What stands above this level's digit is the same for all timers here as for the time reached.
+            let above = self.reached_us >> shift >> BITS << BITS;
+            let start_us = (above | digit) << shift;
+            if start_us > now_us {
+                self.reached_us = self.reached_us.max(now_us);
+                return None;
+            }
+            self.reached_us = self.reached_us.max(start_us);
+            let first = self.slots[at].first;
+            if level == 0 {
+                let due_us = self.entries[first as usize].at_us;
+                self.unlink(first);
+                return self.release(first).map(|value| (due_us, value));
+            }
+            // Down with all of them, in their order.
+            self.slots[at] = EMPTY;
+            self.occupied[level] &= !(1 << digit);
+            let mut index = first;
+            while index != NONE {
+                let next = self.entries[index as usize].next;
+                self.link(index);
+                index = next;
+            }
+        }
+    }
+
+    fn link(&mut self, index: u32) {
+        let at_us = self.entries[index as usize].at_us;
+        // What is late goes where the time reached stands.
+        let key = at_us.max(self.reached_us);
+        let differ = key ^ self.reached_us;
+        let level = (63 - (differ | 1).leading_zeros()) / BITS;
+        let digit = (key >> (BITS * level)) as usize % SLOTS;
+        let at = level as usize * SLOTS + digit;
+        let slot = &mut self.slots[at];
+        let last = slot.last;
+        slot.last = index;
+        slot.least_us = slot.least_us.min(at_us);
+        if last == NONE {
+            slot.first = index;
+            self.occupied[level as usize] |= 1 << digit;
+        } else {
+            self.entries[last as usize].next = index;
+        }
+        let entry = &mut self.entries[index as usize];
+        (entry.previous, entry.next, entry.slot) = (last, NONE, at as u16);
+    }
+
+    fn unlink(&mut self, index: u32) {
+        let Entry { previous, next, slot: at, .. } = self.entries[index as usize];
+        let slot = &mut self.slots[usize::from(at)];
+        if previous == NONE {
+            slot.first = next;
+        }
+        if next == NONE {
+            slot.last = previous;
+        }
+        if slot.first == NONE {
+            *slot = EMPTY;
+            self.occupied[usize::from(at) / SLOTS] &= !(1 << (usize::from(at) % SLOTS));
+        }
+        if previous != NONE {
+            self.entries[previous as usize].next = next;
+        }
+        if next != NONE {
+            self.entries[next as usize].previous = previous;
+        }
+    }
+
+    fn release(&mut self, index: u32) -> Option<T> {
+        self.armed -= 1;
+        let entry = &mut self.entries[index as usize];
+        entry.generation = entry.generation.wrapping_add(1);
+        (entry.slot, entry.next) = (FREE, self.free);
+        self.free = index;
+        entry.value.take()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn all<T>(wheel: &mut Wheel<T>, now_us: u64) -> Vec<(u64, T)> {
+        std::iter::from_fn(|| wheel.pop(now_us)).collect()
+    }
+
+    #[test]
+    fn two_of_one_microsecond_fire_as_they_were_armed_however_long_before() {
+        let mut wheel = Wheel::new();
+        wheel.arm(20_000_000, 'a');
+        assert_eq!(wheel.pop(19_999_000), None);
+        wheel.arm(20_000_000, 'b');
+        wheel.arm(19_999_999, 'c');
+        assert_eq!(all(&mut wheel, 20_000_000), [(19_999_999, 'c'), (20_000_000, 'a'), (20_000_000, 'b')]);
+    }
+
+    #[test]
+    fn armed_cancelled_and_armed_again_in_one_turn_fires_once() {
+        let mut wheel = Wheel::new();
+        let first = wheel.arm(500, 1);
+        assert_eq!(wheel.cancel(first), Some(1));
+        let second = wheel.arm(500, 2);
+        assert_eq!(wheel.cancel(first), None, "the name of a cancelled timer reaches no other one");
+        assert!(!wheel.rearm(first, 100) && wheel.rearm(second, 700));
+        assert_eq!(wheel.next_us(), Some(700));
+        assert_eq!(all(&mut wheel, 10_000), [(700, 2)]);
+        assert!(wheel.is_empty() && wheel.next_us().is_none());
+    }
+
+    #[test]
+    fn a_clock_that_stands_still_and_jumps_on_skips_nobody() {
+        let mut wheel = Wheel::new();
+        for n in 0..1000_u64 {
+            wheel.arm(5_000_000 + (n * 7919) % 20_000_000, n);
+        }
+        for _ in 0..5 {
+            assert_eq!(wheel.pop(4_999_999), None, "it stands still");
+        }
+        let fired = all(&mut wheel, 14_999_999);
+        assert!(fired.is_sorted_by_key(|f| f.0));
+        let late = all(&mut wheel, u64::MAX);
+        assert_eq!(fired.len() + late.len(), 1000);
+        assert!(late.iter().all(|l| l.0 > 14_999_999));
+    }
+
+    #[test]
+    fn digits_that_turn_over_keep_the_order() {
+        for edge in [63, 64, 4095, 4096, (1 << 18) - 1, 1 << 18, 1 << 36] {
+            let mut wheel = Wheel::new();
+            assert_eq!(wheel.pop(edge - 2), None);
+            for at in [edge + 1, edge, edge - 1, edge + 64, edge + 4096] {
+                wheel.arm(at, at);
+            }
+            let mut fired = Vec::new();
+            while let Some(at) = wheel.next_us() {
+                fired.extend(all(&mut wheel, at));
+            }
+            let wanted = [edge - 1, edge, edge + 1, edge + 64, edge + 4096];
+            assert_eq!(fired, wanted.map(|at| (at, at)));
+        }
+    }
+
+    #[test]
+    fn what_is_late_when_it_is_armed_is_due_at_once_and_the_end_of_time_is_a_time() {
+        let mut wheel = Wheel::new();
+        assert_eq!(wheel.pop(1_000_000), None);
+        wheel.arm(1_000_000, 'a');
+        wheel.arm(5, 'b');
+        let never = wheel.arm(u64::MAX, 'c');
+        assert!(wheel.next_us().is_some_and(|at| at <= 1_000_000));
+        assert_eq!(all(&mut wheel, 1_000_000), [(1_000_000, 'a'), (5, 'b')]);
+        assert!(wheel.is_armed(never));
+    }
+
+    #[test]
+    fn a_timer_armed_by_one_that_fires_takes_its_place_in_the_order() {
+        let mut wheel = Wheel::new();
+        wheel.arm(10, 'a');
+        wheel.arm(30, 'c');
+        assert_eq!(wheel.pop(100), Some((10, 'a')));
+        wheel.arm(20, 'b');
+        assert_eq!(all(&mut wheel, 100), [(20, 'b'), (30, 'c')]);
+    }
+
+    #[test]
+    fn a_cancelled_first_timer_costs_one_early_look_at_most() {
+        let mut wheel = Wheel::new();
+        let first = wheel.arm(20_000_000, 1);
+        wheel.arm(21_000_000, 2);
+        wheel.cancel(first);
+        let mut looks = 0;
+        while !wheel.is_empty() {
+            let at = wheel.next_us().unwrap();
+            looks += usize::from(wheel.pop(at).is_none());
+        }
+        assert!(looks <= 1, "{looks}");
+    }
+}
