Let the module rest while nothing is asked; test crowds, floods and lost descriptors

Cause: the module's look every 50 ms woke an idle gateway 20 times a second, and spent timers of ended requests rang; a silent crowd took idle sessions' places; sessions in conversation were read ahead of their turn behind thousands.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -396,7 +396,7 @@
                 Step::OverloadReply { who, job: request.0, wait_s: retry_after }
             }
             Action::Fail(request) => Step::RespondError { who, job: request.0 },
-            Action::SetTimer { delay, token } => Step::Remind { who, delay_s: delay, nonce: token },
+            Action::SetTimer { delay, token, .. } => Step::Remind { who, delay_s: delay, nonce: token },
             Action::Probe(engine) => {
                 Step::Touch { who, engine: self.engines.names[engine.0 as usize].clone() }
             }
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -93,7 +93,8 @@
 struct Open {
     class: ClassId,
     deadline_us: u64,
-    deadline: TimerId,
+    /// Its own timer, and those that the module has set for it.
+    plans: Vec<TimerId>,
     attempts: u32,
     may_have_run: bool,
     memory_mb: f64,
@@ -214,7 +215,7 @@
                 let open = Open {
                     class: ask.class,
                     deadline_us,
-                    deadline,
+                    plans: vec![deadline],
                     attempts: 0,
                     may_have_run: false,
                     memory_mb: 0.0,
@@ -277,7 +278,9 @@
     /// A request is no longer owed an answer, nor its deadline a timer.
     fn close(&mut self, id: RequestId) -> Option<Open> {
         let open = self.open.remove(&id)?;
-        self.alarms.cancel(open.deadline);
+        for timer in &open.plans {
+            self.alarms.cancel(*timer);
+        }
         Some(open)
     }
 
@@ -401,8 +404,13 @@
                 self.answer_unserved(request, retry_after, true, commands);
             }
             Action::Fail(request) => self.answer_unserved(request, None, false, commands),
-            Action::SetTimer { delay, token } => {
-                self.alarms.arm(now_us + micros(delay), Alarm::Module(token));
+            Action::SetTimer { delay, token, of } => {
+                let timer = self.alarms.arm(now_us + micros(delay), Alarm::Module(token));
+                match of.map(|id| self.open.get_mut(&id)) {
+                    Some(Some(open)) => open.plans.push(timer),
+                    Some(None) => drop(self.alarms.cancel(timer)),
+                    None => {}
+                }
             }
             // The platform pushes its list and forbids probes; the module asks for neither there.
             Action::Probe(_) | Action::Subscribe => {}
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -242,3 +242,17 @@
             || left.contains(id))
     }
 }
+
+/// Guards the sleep of an idle gateway: once all is answered, neither the core nor the module wants to be woken.
+#[test]
+fn a_core_with_nothing_asked_wants_no_turn() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.core.next_alarm_us(), None, "engines alone need no look");
+    let (id, attempt, _) = started(&bench.ask(1, LOOKUP, 3 * SECOND)).unwrap();
+    assert!(bench.core.timers() >= 2, "its deadline, and the module's look");
+    bench.turn(vec![Input::Ended(id, attempt, Outcome::Success, None)]);
+    bench.pass(100_000);
+    assert_eq!((bench.core.timers(), bench.core.next_alarm_us()), (0, None));
+    assert!(started(&bench.ask(2, LOOKUP, 3 * SECOND)).is_some());
+    assert!(bench.core.next_alarm_us().is_some_and(|at| at <= bench.now_us + 50_000), "it looks again");
+}
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -38,7 +38,7 @@
         let full = self.sessions.table.len() >= self.sessions.most;
         let short = self.sessions.ledger.allows(Kind::Sessions, Sessions::bytes_of_one()).is_err();
         if full || short {
-            match self.sessions.table.yields(now_us) {
+            match self.sessions.yields(now_us) {
                 Some(who) => {
                     self.counters.evicted += 1;
                     self.client_lost(who);
--- a/gateway/src/net/doors.rs
+++ b/gateway/src/net/doors.rs
@@ -156,7 +156,7 @@
     /// No descriptor is left, whatever the budget says. Whoever yields its place gives one; else the one who
     /// knocks is told off with the spare one; else the doors are shut for a moment, or the loop would spin.
     fn find_descriptor(&mut self, front: Front) -> bool {
-        if let Some(who) = self.sessions.table.yields(self.time.now_us) {
+        if let Some(who) = self.sessions.yields(self.time.now_us) {
             self.counters.evicted += 1;
             self.client_lost(who);
             return true;
@@ -180,3 +180,27 @@
         socket2::TcpKeepalive::new().with_time(k.idle).with_interval(k.interval).with_retries(k.probes);
     socket2::SockRef::from(stream).set_tcp_keepalive(&probing)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::{self, Keepalive, Node};
+
+    #[test]
+    fn ends_that_vanish_without_a_word_are_asked_for_where_the_operator_wants_that() {
+        let text = include_str!("../../tests/common/config.json").replace("LIST", "");
+        let mut config = config::read(&Node::root(&text.parse().unwrap(), "config")).unwrap();
+        let listener = listener(([127, 0, 0, 1], 0).into(), 8).unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let socket = socket2::SockRef::from(&stream);
+        keep_alive(&stream, &config).unwrap();
+        assert!(!socket.keepalive().unwrap(), "off by default");
+        let (idle, interval) = (std::time::Duration::from_secs(30), std::time::Duration::from_secs(5));
+        config.clients.keepalive = Some(Keepalive { idle, interval, probes: 3 });
+        keep_alive(&stream, &config).unwrap();
+        assert!(socket.keepalive().unwrap());
+        let set =
+            (socket.tcp_keepalive_time(), socket.tcp_keepalive_interval(), socket.tcp_keepalive_retries());
+        assert_eq!((set.0.unwrap(), set.1.unwrap(), set.2.unwrap()), (idle, interval, 3));
+    }
+}
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -203,6 +203,7 @@
             self.read_sessions();
             self.turn();
             if self.is_done() {
+                self.print();
                 return Ok(self.counters);
             }
         }
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -27,6 +27,8 @@
 /// attempt, being written.
 const MESSAGES: usize = 8;
 const LONGEST_MESSAGE: std::ops::RangeInclusive<usize> = 8 * 1024..=MAX_PACKET;
+/// Fewer that have not got on are no crowd, and each is given its time.
+const LEAST_CROWD: usize = 32;
 /// A tenant's group has this bit, an address's does not.
 const TENANT: u32 = 1 << 31;
 
@@ -289,7 +291,12 @@
         (self.secrets >> 32) as u32
     }
 
-    /// How far more than this is read ahead from a client.
+    /// Whose place another may have.
+    pub fn yields(&self, now_us: u64) -> Option<Handle> {
+        self.table.yields(now_us, (self.most / 4).max(LEAST_CROWD))
+    }
+
+    /// No more than this is read ahead from a client.
     pub fn read_ahead(&self) -> usize {
         self.longest_message + 1024
     }
@@ -465,13 +472,11 @@
             write!(f, "held_{}={} ", format!("{kind:?}").to_lowercase(), l.held(kind))?;
         }
         let g = &self.governor;
-        write!(
-            f,
-            "waiting={} deferred={} longest_wait_us={}",
-            g.waiting(),
-            g.deferred(),
-            g.longest_wait_us()
-        )?;
+        write!(f, "waiting={} deferred={}", g.waiting(), g.deferred())?;
+        for standing in [Standing::Open, Standing::Begun, Standing::Active, Standing::Woken, Standing::New] {
+            let name = format!("{standing:?}").to_lowercase();
+            write!(f, " longest_{name}_us={}", g.longest_wait_us(standing))?;
+        }
         for work in [Work::Accept, Work::Read, Work::Request, Work::Event] {
             write!(f, " {}_us={:.1}", format!("{work:?}").to_lowercase(), g.costs().cost_us(work))?;
         }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -377,6 +377,12 @@
     log: Arc<Mutex<String>>,
 }
 
+/// A figure of the log, by the key before it.
+pub fn figure(log: &str, key: &str) -> usize {
+    let word = log.split_whitespace().rev().find_map(|w| w.split_once(key)).expect(key);
+    word.1.parse().unwrap()
+}
+
 static FOLDERS: AtomicU64 = AtomicU64::new(0);
 
 impl Gateway {
@@ -474,6 +480,21 @@
         }
     }
 
+    /// The turns that its loop has made, by its own word.
+    pub fn turns(&self) -> u64 {
+        let before = self.log.lock().unwrap().len();
+        self.signal("-USR1");
+        let began = Instant::now();
+        loop {
+            let new = self.log.lock().unwrap().get(before..).unwrap_or_default().to_owned();
+            if new.contains("turns=") && new.ends_with('\n') {
+                return figure(&new, "turns=") as u64;
+            }
+            assert!(began.elapsed() < Duration::from_secs(60), "it tells no counters");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Asks it to end; its exit code and its last words.
     pub fn end(self) -> (Option<i32>, String) {
         self.terminate();
--- a/gateway/tests/common/pg.rs
+++ b/gateway/tests/common/pg.rs
@@ -62,6 +62,41 @@
         Self { stream, key: [0; 8] }
     }
 
+    /// Another hold on the same connection.
+    pub fn clone(&self) -> Self {
+        Self { stream: self.stream.try_clone().unwrap(), key: self.key }
+    }
+
+    /// A connection that has started, if the other side lets it.
+    pub fn try_connect(address: SocketAddr) -> Option<Self> {
+        let mut client = Self::silent(address);
+        let body = b"\0\x03\0\0user\0app\0database\0warehouse\0\0";
+        let start = [&(body.len() as u32 + 4).to_be_bytes(), &body[..]].concat();
+        client.stream.write_all(&start).ok()?;
+        loop {
+            match client.try_message()?.0 {
+                b'Z' => return Some(client),
+                b'E' => return None,
+                _ => {}
+            }
+        }
+    }
+
+    /// The code with which a connection on which nothing was said is ended; `None` if without a word.
+    pub fn refusal(mut self) -> Option<String> {
+        let (kind, body) = self.try_message()?;
+        (kind == b'E').then(|| error(&body).0)
+    }
+
+    fn try_message(&mut self) -> Option<(u8, Vec<u8>)> {
+        let mut head = [0; 5];
+        self.stream.read_exact(&mut head).ok()?;
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let mut body = vec![0; length - 4];
+        self.stream.read_exact(&mut body).ok()?;
+        Some((head[0], body))
+    }
+
     /// Whether the other side has ended without a word.
     pub fn is_ended(&mut self) -> bool {
         self.stream.read(&mut [0]).is_ok_and(|n| n == 0)
@@ -72,12 +107,7 @@
     }
 
     fn message(&mut self) -> (u8, Vec<u8>) {
-        let mut head = [0; 5];
-        self.stream.read_exact(&mut head).unwrap();
-        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
-        let mut body = vec![0; length - 4];
-        self.stream.read_exact(&mut body).unwrap();
-        (head[0], body)
+        self.try_message().expect("a message")
     }
 
     pub fn query(&mut self, text: &str) -> Answer {
--- a/lab/src/idle.rs
+++ b/lab/src/idle.rs
@@ -40,6 +40,9 @@
     /// How often all is measured.
     #[arg(long, default_value_t = 3)]
     rounds: usize,
+    /// How often in a round half of the sessions wake up.
+    #[arg(long, default_value_t = 5)]
+    wakes: usize,
     /// How long each steady state is watched, in seconds.
     #[arg(long, default_value_t = 10)]
     seconds: u64,
@@ -48,7 +51,7 @@
 }
 
 /// Sessions of one helper process; the limit is about 20,000 descriptors.
-const MOST_OF_ONE: usize = 7_500;
+const MOST_OF_ONE: usize = 3_750;
 /// Active clients beside the idle ones.
 const ACTIVE: usize = 4;
 /// What the engine takes for a lookup.
@@ -67,6 +70,9 @@
     latency_alone: Spread,
     latency_beside_parked: Spread,
     wake_half: Done,
+    wake_half_least_ms: f64,
+    wake_half_most_ms: f64,
+    wake_cpu_ms: f64,
     active_during_wake: Spread,
     wake_half_and_reconnect: Done,
     reconnected: Done,
@@ -76,6 +82,7 @@
     churn_system_part: f64,
     bytes_after: f64,
     timers_late: String,
+    longest_waits: String,
 }
 
 /// A helper process.
@@ -224,8 +231,17 @@
     let pause = Duration::from_millis(500);
     let active = Active::start(gateway.pg);
     thread::sleep(pause);
-    let wake_half = all(&mut helpers, |_| format!("wake {}", each / 2))?;
-    thread::sleep(pause);
+    let start = spent(process)?;
+    let mut wakes = Vec::new();
+    for _ in 0..options.wakes.max(1) {
+        wakes.push(all(&mut helpers, |_| format!("wake {}", each / 2))?);
+        thread::sleep(pause);
+    }
+    let wake_cpu_ms = 1e3 * (spent(process)?.cpu_s - start.cpu_s) / wakes.len() as f64;
+    wakes.sort_by(|a, b| a.ms.total_cmp(&b.ms));
+    let lost = wakes.iter().map(|w| w.lost).sum();
+    let wake_half = Done { lost, ..wakes[wakes.len() / 2] };
+    let (wake_half_least_ms, wake_half_most_ms) = (wakes[0].ms, wakes[wakes.len() - 1].ms);
     let active_during_wake = active.end()?;
 
     // A second crowd connects anew while the first wakes up.
@@ -259,6 +275,9 @@
         latency_alone,
         latency_beside_parked,
         wake_half,
+        wake_half_least_ms,
+        wake_half_most_ms,
+        wake_cpu_ms,
         active_during_wake,
         wake_half_and_reconnect,
         reconnected,
@@ -269,11 +288,17 @@
         bytes_after,
         timers_late: format!(
             "n={} p50={} p99={} max={} us",
-            figure(&counters, "timers_rung="),
+            figure(&counters, "lateness=timers_rung="),
             figure(&counters, "late_p50_us="),
             figure(&counters, "late_p99_us="),
             figure(&counters, "late_max_us=")
         ),
+        longest_waits: format!(
+            "active {} us, woken {} us, new {} us",
+            figure(&counters, "longest_active_us="),
+            figure(&counters, "longest_woken_us="),
+            figure(&counters, "longest_new_us=")
+        ),
     })
 }
 
@@ -307,6 +332,11 @@
             )
         };
         writeln!(f, "half wake up                 {}", wake(&self.wake_half))?;
+        writeln!(
+            f,
+            "  least and most             {:.1} and {:.1} ms, {:.1} ms of the core each with what is between",
+            self.wake_half_least_ms, self.wake_half_most_ms, self.wake_cpu_ms
+        )?;
         writeln!(f, "  active lookups             {}", self.active_during_wake)?;
         writeln!(f, "half wake up, a tenth anew   {}", wake(&self.wake_half_and_reconnect))?;
         writeln!(f, "  those that connect anew    {}", wake(&self.reconnected))?;
@@ -318,6 +348,7 @@
             self.churn_cpu_percent,
             100.0 * self.churn_system_part
         )?;
+        writeln!(f, "longest wait to be read      {}", self.longest_waits)?;
         write!(f, "timers late                  {}", self.timers_late)
     }
 }
--- a/lab/src/memory.rs
+++ b/lab/src/memory.rs
@@ -110,7 +110,7 @@
     let began = Instant::now();
     let rounds = 100_000;
     for _ in 0..rounds {
-        black_box(table.yields(black_box(n as u64)));
+        black_box(table.yields(black_box(n as u64), n / 4));
     }
     let yield_ns = began.elapsed().as_nanos() as f64 / f64::from(rounds);
     for who in all.drain(..) {
--- /dev/null
+++ b/sessions/benches/structures.rs
@@ -0,0 +1,207 @@
+//! The wheel against a binary heap with tombstones, and the place to yield against a scan of all sessions: the
+//! plain ones are what the gateway had before.
+//!
+//! `cargo bench -p wrenhatch-sessions`
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use divan::{Bencher, black_box};
+use wrenhatch_sessions::table::{Table, Use};
+use wrenhatch_sessions::wheel::{TimerId, Wheel};
+
+fn main() {
+    divan::main();
+}
+
+const SIZES: [usize; 4] = [1_000, 10_000, 100_000, 1_000_000];
+
+/// Times within 20 s, the same for both.
+fn times(n: usize) -> Vec<u64> {
+    let mut state = 7_u64;
+    let next = |_| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        1_000_000 + (state >> 33) % 20_000_000
+    };
+    (0..n).map(next).collect()
+}
+
+/// A heap whose cancelled timers stay until they are due, told from others by their generation.
+#[derive(Default)]
+struct Heap {
+    heap: BinaryHeap<Reverse<(u64, u32, u32)>>,
+    generations: Vec<u32>,
+}
+
+impl Heap {
+    fn arm(&mut self, at_us: u64, index: u32) {
+        self.heap.push(Reverse((at_us, index, self.generations[index as usize])));
+    }
+
+    fn cancel(&mut self, index: u32) {
+        self.generations[index as usize] += 1;
+    }
+
+    fn pop(&mut self, now_us: u64) -> Option<(u64, u32)> {
+        while let Some(Reverse((at_us, index, generation))) = self.heap.peek().copied() {
+            if at_us > now_us {
+                return None;
+            }
+            self.heap.pop();
+            if self.generations[index as usize] == generation {
+                return Some((at_us, index));
+            }
+        }
+        None
+    }
+}
+
+fn heap(times: &[u64]) -> Heap {
+    let mut heap = Heap { heap: BinaryHeap::new(), generations: vec![0; times.len()] };
+    times.iter().zip(0..).for_each(|(at, i)| heap.arm(*at, i));
+    heap
+}
+
+fn wheel(times: &[u64]) -> (Wheel<u32>, Vec<TimerId>) {
+    let mut wheel = Wheel::new();
+    let ids = times.iter().zip(0..).map(|(at, i)| wheel.arm(*at, i)).collect();
+    (wheel, ids)
+}
+
+/// All timers are armed.
+#[divan::bench_group(sample_count = 20, sample_size = 1)]
+mod arm {
+    use super::*;
+
+    #[divan::bench(args = SIZES)]
+    fn wheel_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| times(n)).bench_refs(|times| wheel(times));
+    }
+
+    #[divan::bench(args = SIZES)]
+    fn heap_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| times(n)).bench_refs(|times| heap(times));
+    }
+}
+
+/// All timers are cancelled, and then nothing is left: with a heap that is only so once all have been due.
+#[divan::bench_group(sample_count = 20, sample_size = 1)]
+mod cancel_until_gone {
+    use super::*;
+
+    #[divan::bench(args = SIZES)]
+    fn wheel_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| wheel(&times(n))).bench_refs(|(wheel, ids)| {
+            ids.iter().for_each(|id| drop(black_box(wheel.cancel(*id))));
+            wheel.pop(30_000_000)
+        });
+    }
+
+    #[divan::bench(args = SIZES)]
+    fn heap_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| heap(&times(n))).bench_refs(|heap| {
+            (0..n as u32).for_each(|i| heap.cancel(i));
+            heap.pop(30_000_000)
+        });
+    }
+}
+
+/// All timers fire, in steps of a millisecond.
+#[divan::bench_group(sample_count = 20, sample_size = 1)]
+mod expire {
+    use super::*;
+
+    #[divan::bench(args = SIZES)]
+    fn wheel_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| wheel(&times(n)).0).bench_refs(|wheel| {
+            for ms in 1_000..=21_000 {
+                while let Some(fired) = wheel.pop(ms * 1_000) {
+                    black_box(fired);
+                }
+            }
+        });
+    }
+
+    #[divan::bench(args = SIZES)]
+    fn heap_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| heap(&times(n))).bench_refs(|heap| {
+            for ms in 1_000..=21_000 {
+                while let Some(fired) = heap.pop(ms * 1_000) {
+                    black_box(fired);
+                }
+            }
+        });
+    }
+}
+
+/// Time-outs as a gateway has them: each of `n` sessions arms one and cancels it soon, over and over, so that
+/// nearly none fires. A million such operations while 40 s pass.
+#[divan::bench_group(sample_count = 5, sample_size = 1)]
+mod arm_and_cancel_in_time {
+    use super::*;
+
+    const ROUNDS: u64 = 1_000_000;
+
+    #[divan::bench(args = SIZES)]
+    fn wheel_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| wheel(&times(n))).bench_refs(|(wheel, ids)| {
+            for round in 0..ROUNDS {
+                let (now_us, at) = (round * 40, (round as usize * 7919) % n);
+                while let Some(fired) = wheel.pop(now_us) {
+                    black_box(fired);
+                }
+                wheel.cancel(ids[at]);
+                ids[at] = wheel.arm(now_us + 20_000_000, at as u32);
+            }
+        });
+    }
+
+    #[divan::bench(args = SIZES)]
+    fn heap_(bencher: Bencher, n: usize) {
+        bencher.with_inputs(|| heap(&times(n))).bench_refs(|heap| {
+            for round in 0..ROUNDS {
+                let (now_us, at) = (round * 40, (round as usize * 7919) % n);
+                while let Some(fired) = heap.pop(now_us) {
+                    black_box(fired);
+                }
+                heap.cancel(at as u32);
+                heap.arm(now_us + 20_000_000, at as u32);
+            }
+        });
+    }
+}
+
+/// Whose place is given up, among so many sessions.
+mod place_to_yield {
+    use super::*;
+
+    const SESSIONS: [usize; 3] = [1_000, 10_000, 100_000];
+
+    #[divan::bench(args = SESSIONS)]
+    fn lists(bencher: Bencher, n: usize) {
+        let mut table: Table<u64, [u64; 40]> = Table::new();
+        for i in 0..n as u64 {
+            let who = table.insert(i, Box::new([i; 40]));
+            table.set_use(who, Use::Idle, i);
+            table.park(who, |hot| Ok(hot[0]));
+        }
+        bencher.bench_local(|| table.yields(black_box(10_000_000), n / 4));
+    }
+
+    #[divan::bench(args = SESSIONS)]
+    fn scan(bencher: Bencher, n: usize) {
+        // A peer as it was: connection, role and session in one place, most of it of no use here.
+        let peers: Vec<Option<(u64, Use, [u64; 40])>> =
+            (0..n as u64).map(|i| Some((i, Use::Idle, [i; 40]))).collect();
+        bencher.bench_local(|| {
+            let rank = |(at, p): (usize, &Option<(u64, Use, [u64; 40])>)| match p {
+                Some((since, Use::Idle, _)) => Some((2, *since, at)),
+                Some((since, Use::Unfinished, _)) if black_box(10_000_000) - since > 100_000 => {
+                    Some((1, *since, at))
+                }
+                _ => None,
+            };
+            peers.iter().enumerate().filter_map(rank).min()
+        });
+    }
+}
--- a/sessions/src/governor.rs
+++ b/sessions/src/governor.rs
@@ -127,7 +127,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            turn_us: 4_000,
+            turn_us: 2_000,
             messages: 16,
             bytes: 64 * 1024,
             least_wait_ms: 20,
@@ -203,7 +203,7 @@
     /// Up to when times to come back have been given out, in microseconds.
     promised_us: f64,
     deferred: u64,
-    longest_wait_us: u64,
+    longest_us: [u64; QUEUES],
 }
 
 impl Governor {
@@ -217,7 +217,7 @@
             reads: 0,
             promised_us: 0.0,
             deferred: 0,
-            longest_wait_us: 0,
+            longest_us: [0; QUEUES],
         }
     }
 
@@ -241,15 +241,15 @@
         self.deferred
     }
 
-    /// The longest that a session has waited to be read, in microseconds.
-    pub fn longest_wait_us(&self) -> u64 {
-        self.longest_wait_us
+    /// The longest that a session of this standing has waited to be read, in microseconds.
+    pub fn longest_wait_us(&self, standing: Standing) -> u64 {
+        self.longest_us[standing as usize]
     }
 
     /// A session is ready to be read. The caller sees to it that each is named once until it is picked.
     pub fn ready(&mut self, who: Handle, standing: Standing, group: u32, now_us: u64) {
         let least = self.least_pass();
-        let early = standing > Standing::Begun && self.backlog_us() > self.limits.patience_us / 2;
+        let early = standing > Standing::Active && self.backlog_us() > self.limits.patience_us / 2;
         let queue = &mut self.queues[if early { EARLY } else { standing as usize }];
         if queue.waiting == 0 {
             // Who had nobody waiting has saved nothing up.
@@ -295,7 +295,7 @@
         self.queues[at].pass += STRIDES[at];
         self.reads += 1;
         self.charge(Work::Read, 1);
-        self.longest_wait_us = self.longest_wait_us.max(now_us.saturating_sub(pick.ready_us));
+        self.longest_us[at] = self.longest_us[at].max(now_us.saturating_sub(pick.ready_us));
         Some(pick)
     }
 
@@ -350,7 +350,7 @@
 
     /// A governor that has learned that a read costs `read_us` and nothing else anything.
     fn learned(read_us: f64) -> Governor {
-        let mut governor = Governor::new(Limits::default());
+        let mut governor = Governor::new(Limits { turn_us: 4_000, ..Limits::default() });
         for _ in 0..500 {
             governor.charge(Work::Read, 10);
             governor.end_turn((read_us * 10.0) as u64);
--- a/sessions/src/table.rs
+++ b/sessions/src/table.rs
@@ -54,6 +54,9 @@
 /// One that was told its last word keeps its place for so long while others need it, to read that word; one
 /// that has begun a message may end it. Both need a round trip or two. In microseconds.
 pub const SPARED_US: u64 = 100_000;
+/// Where a crowd comes and says nothing, its oldest is spared for this only, as else the crowd would take the places
+/// of all that are idle before any of it could be told from who is slow.
+pub const CROWDED_US: u64 = 20_000;
 /// The same for one that has an answer of many rows to read.
 pub const READING_US: u64 = 2_000_000;
 
@@ -364,17 +367,20 @@
 
     /// Whose place is given to another session, if anyone's: of those that were told all the oldest, else of
     /// those that don't get on the oldest, else the one idle for longest, whose next request comes over a new
-    /// connection. Constant time.
-    pub fn yields(&self, now_us: u64) -> Option<Handle> {
+    /// connection. Where as many as `crowd` have not got on, the oldest of them goes sooner, unless it is this side
+    /// that has yet to read it. Constant time.
+    pub fn yields(&self, now_us: u64, crowd: usize) -> Option<Handle> {
         let over = |used, spared_us: u64| {
             self.oldest(used).filter(|(_, since)| now_us.saturating_sub(*since) >= spared_us)
         };
+        let crowded = self.count(Use::Unfinished) >= crowd;
+        let pressed = || over(Use::Unfinished, CROWDED_US).filter(|(it, _)| crowded && !self.is_marked(*it));
         let older = |of: [Option<(Handle, u64)>; 2]| {
             of.into_iter().flatten().min_by_key(|(handle, since)| (*since, handle.index))
         };
         let slow = || older([over(Use::Unfinished, SPARED_US), over(Use::Unread, READING_US)]);
         let idle = || older([self.oldest(Use::Idle), self.oldest(Use::Keeping)]);
-        over(Use::Told, SPARED_US).or_else(slow).or_else(idle).map(|(handle, _)| handle)
+        over(Use::Told, SPARED_US).or_else(slow).or_else(pressed).or_else(idle).map(|(handle, _)| handle)
     }
 }
 
@@ -398,7 +404,7 @@
 
     fn chosen(uses: &[(Use, u64)]) -> Option<usize> {
         let (table, handles) = table(uses);
-        let yields = table.yields(NOW)?;
+        let yields = table.yields(NOW, usize::MAX)?;
         handles.iter().position(|h| *h == yields)
     }
 
@@ -450,6 +456,17 @@
         assert_eq!((table.cold(), table.hot(it)), (0, Some(&5)));
     }
 
+    #[test]
+    fn a_silent_crowd_takes_no_idle_session_s_place() {
+        let crowd: Vec<_> = (0..50).map(|n| (Use::Unfinished, NOW - 40_000 + n)).collect();
+        let (mut table, handles) = table(&[vec![(Use::Idle, 1)], crowd].concat());
+        assert_eq!(table.yields(NOW, 51), Some(handles[0]), "fifty are no crowd yet");
+        assert_eq!(table.yields(NOW, 50), Some(handles[1]));
+        assert_eq!(table.yields(NOW - 30_000, 50), Some(handles[0]), "they have just come");
+        table.mark(handles[1]);
+        assert_eq!(table.yields(NOW, 50), Some(handles[0]), "it has spoken and was not read yet");
+    }
+
     #[test]
     fn a_mark_ends_with_its_session() {
         let (mut table, handles) = table(&[(Use::Idle, 1)]);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -463,6 +463,8 @@
         delay: f64,
         /// Comes back with the event.
         token: u64,
+        /// The request that it is for; once that has ended nobody needs it any more.
+        of: Option<RequestId>,
     },
     /// Probes an engine; [`Event::Probed`] tells the result.
     Probe(EngineId),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -305,6 +305,7 @@
     mean: f64,   // R over all engines.
     pace: f64,   // The engines' mean pace.
     started: Option<f64>,
+    looks: bool, // A look is due; none is while nothing is asked or out.
 }
 
 impl Pool {
@@ -388,13 +389,9 @@
 
     /// Takes one event; what is to be done about it is added to `actions`.
     pub fn on_event(&mut self, now: f64, event: &Event, actions: &mut Vec<Action>) {
-        if self.pooled.started.is_none() {
-            self.pooled.started = Some(now);
-            actions.push(Action::SetTimer { delay: LOOK, token: LOOK_TOKEN });
-            if self.s.allowed.ask_for_list {
-                actions.push(Action::Subscribe);
-            }
-        }
+        let first = self.pooled.started.is_none();
+        let started = *self.pooled.started.get_or_insert(now);
+        actions.extend((first && self.s.allowed.ask_for_list).then_some(Action::Subscribe));
         self.pooled.pass(now);
         match event {
             Event::List { mode, entries } => self.listed(now, *mode, entries, actions),
@@ -402,7 +399,7 @@
             Event::Ended { .. } => self.ended(now, event, actions),
             Event::Aborted(id) => self.forget(*id, actions),
             Event::Timer(LOOK_TOKEN) => {
-                actions.push(Action::SetTimer { delay: LOOK, token: LOOK_TOKEN });
+                self.pooled.looks = false;
                 self.look(now, actions);
             }
             Event::Timer(ASK_TOKEN) => actions.push(Action::Subscribe),
@@ -414,13 +411,19 @@
             Event::Started { .. } => {}
         }
         self.release(now, actions);
+        // Looks keep to their grid, and rest while nothing is asked or out.
+        if !(self.pooled.looks || self.jobs.is_empty() && self.attempts.is_empty()) {
+            self.pooled.looks = true;
+            let next = started + LOOK * (1.0 + ((now - started) / LOOK + 1e-3).floor());
+            actions.push(Action::SetTimer { delay: next - now, token: LOOK_TOKEN, of: None });
+        }
     }
 
     fn listed(&mut self, now: f64, mode: ListMode, entries: &[EngineEntry], actions: &mut Vec<Action>) {
         if mode == ListMode::Failed {
             // Asked again after a while only: a registry that turns calls away has too many.
             if self.s.allowed.ask_for_list {
-                actions.push(Action::SetTimer { delay: PAUSE.0, token: ASK_TOKEN });
+                actions.push(Action::SetTimer { delay: PAUSE.0, token: ASK_TOKEN, of: None });
             }
             return;
         }
@@ -532,7 +535,7 @@
         }
         // The end is planned at once, whatever becomes of attempts, lists and other timers.
         let delay = (request.deadline - self.s.resolution - now).max(0.0);
-        actions.push(Action::SetTimer { delay, token: request.id.0 + 1 });
+        actions.push(Action::SetTimer { delay, token: request.id.0 + 1, of: Some(request.id) });
         let job = Job {
             request: request.clone(),
             arrived: now,
@@ -616,12 +619,11 @@
                 actions.push(Action::Fail(id));
                 return self.forget(id, actions);
             }
-            Some(first) => {
-                if let Some(e) = self.engines.get_mut(&first) {
+            first => {
+                if let Some(e) = first.and_then(|first| self.engines.get_mut(&first)) {
                     e.health.strike(now, ERRED.1);
                 }
             }
-            None => {}
         }
         if settled {
             self.forget(id, actions);
@@ -778,8 +780,7 @@
     fn look(&mut self, now: f64, actions: &mut Vec<Action>) {
         let (mean, terms) = (self.pooled.mean, self.loop_terms());
         for e in self.engines.values_mut() {
-            let fullness = self.pooled.fullness(e, now);
-            e.feedback.close(now, mean, fullness, &terms);
+            e.feedback.close(now, mean, self.pooled.fullness(e, now), &terms);
         }
         self.light = mean.min(self.light * 1.001).min(self.objective);
         if !self.attempts.is_empty() {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -108,7 +108,7 @@
     fn check(&mut self, action: &Action) {
         let now = self.drive.now;
         match action {
-            Action::SetTimer { delay, token } => {
+            Action::SetTimer { delay, token, .. } => {
                 assert!(*delay >= 0.0);
                 self.timers.push((now + delay, *token));
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -18,7 +18,7 @@
     request.deadline = drive.now + 0.5;
     let actions = drive.event(&Event::Arrived(request));
     let timer = actions.iter().find_map(|a| match a {
-        Action::SetTimer { delay, token } if *token != 0 => Some((*delay, *token)),
+        Action::SetTimer { delay, token, .. } if *token != 0 => Some((*delay, *token)),
         _ => None,
     });
     let (delay, token) = timer.expect("its end is planned at once");
