--- a/gateway/src/engine/http.rs
+++ b/gateway/src/engine/http.rs
@@ -255,6 +255,11 @@
         get(&self.ticket, self.pages.len() as u32, out);
     }
 
+    /// Bytes of the result that are held so far.
+    pub fn held_bytes(&self) -> usize {
+        self.pages.iter().map(Vec::capacity).sum()
+    }
+
     /// It is being given up: it is asked for no more.
     pub fn give_up(&mut self) {
         self.given_up = true;
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use notchridge::interface::*;
+use wrenhatch_sessions::ledger::Kind;
 use wrenhatch_sessions::wheel::TimerId;
 
 use super::conn::{Conn, Phase, ReadEnd};
@@ -132,6 +133,8 @@
     thread: u32,
     /// It was given up and the engine is being told.
     pub stopping: bool,
+    /// Bytes of its result that are booked.
+    booked: usize,
     /// Rings when the engine should have been heard of its end.
     unheard: Option<TimerId>,
     /// How often in a row the present call had no good answer and was made again over another connection.
@@ -246,6 +249,7 @@
                     ticket,
                     thread: 0,
                     stopping: false,
+                    booked: 0,
                     unheard: None,
                     retries: 0,
                 };
@@ -632,6 +636,8 @@
                 let mut next = Vec::new();
                 let step = exchange.on_response(&mut response, &mut next);
                 let asked_again = attempt.retries > 0;
+                let held = exchange.held_bytes();
+                self.sessions.ledger.book(Kind::Results, std::mem::replace(&mut attempt.booked, held), held);
                 if step != http::Step::Spoilt {
                     attempt.retries = 0;
                 }
@@ -742,6 +748,7 @@
     fn forget_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.pools.attempts.remove(&id)?;
         self.requests.free_ticket(&attempt.ticket);
+        self.sessions.ledger.book(Kind::Results, attempt.booked, 0);
         if let Some(timer) = attempt.unheard {
             self.timers.cancel(timer);
         }
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -473,6 +473,7 @@
         }
         let g = &self.governor;
         write!(f, "waiting={} deferred={}", g.waiting(), g.deferred())?;
+        write!(f, " longest_turn_us={}", g.longest_turn_us())?;
         for standing in [Standing::Open, Standing::Begun, Standing::Active, Standing::Woken, Standing::New] {
             let name = format!("{standing:?}").to_lowercase();
             write!(f, " longest_{name}_us={}", g.longest_wait_us(standing))?;
--- a/lab/src/helper.rs
+++ b/lab/src/helper.rs
@@ -73,6 +73,15 @@
     Ok(body)
 }
 
+/// Sends a PostgreSQL query.
+pub fn ask(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    let mut message = vec![b'Q'];
+    message.extend((text.len() as u32 + 5).to_be_bytes());
+    message.extend(text.bytes());
+    message.push(0);
+    stream.write_all(&message)
+}
+
 /// Reads PostgreSQL messages until the session is ready; the SQLSTATE of an error among them.
 pub fn read_until_ready(stream: &mut TcpStream) -> anyhow::Result<Option<String>> {
     let mut error = None;
--- a/sessions/src/governor.rs
+++ b/sessions/src/governor.rs
@@ -70,8 +70,10 @@
     costs_us: [f64; WORKS],
 }
 
-/// How far one turn moves the costs.
+/// How far one turn moves the costs; a large one tells more, and a crowd is over in a few of them.
 const STEP: f64 = 0.1;
+const LARGE_STEP: f64 = 0.4;
+const LARGE_US: f64 = 1_000.0;
 /// Before anything was measured, in microseconds.
 const FIRST_GUESS_US: [f64; WORKS] = [30.0, 15.0, 40.0, 2.0, 10.0];
 const LEAST_COST_US: f64 = 0.1;
@@ -101,8 +103,9 @@
         // A turn in which the machine was taken away tells nothing of the work: its error counts up to a limit.
         let predicted = self.predict_us(done);
         let error = (took_us - predicted).clamp(-predicted, 4.0 * predicted);
+        let step = if predicted.max(took_us) < LARGE_US { STEP } else { LARGE_STEP };
         for (cost, n) in self.costs_us.iter_mut().zip(done) {
-            *cost = (*cost + STEP * error * n / power).clamp(LEAST_COST_US, MOST_COST_US);
+            *cost = (*cost + step * error * n / power).clamp(LEAST_COST_US, MOST_COST_US);
         }
     }
 }
@@ -197,6 +200,8 @@
     limits: Limits,
     costs: CostModel,
     queues: [Queue; QUEUES],
+    /// The largest pass at which anyone was picked: where one that was empty begins again.
+    reached: u64,
     /// What this turn has done so far.
     done: [f64; WORKS],
     reads: usize,
@@ -204,6 +209,7 @@
     promised_us: f64,
     deferred: u64,
     longest_us: [u64; QUEUES],
+    longest_turn_us: u64,
 }
 
 impl Governor {
@@ -213,11 +219,13 @@
             limits,
             costs: CostModel::default(),
             queues: Default::default(),
+            reached: 0,
             done: [0.0; WORKS],
             reads: 0,
             promised_us: 0.0,
             deferred: 0,
             longest_us: [0; QUEUES],
+            longest_turn_us: 0,
         }
     }
 
@@ -246,22 +254,22 @@
         self.longest_us[standing as usize]
     }
 
+    /// The longest turn so far, in microseconds.
+    pub fn longest_turn_us(&self) -> u64 {
+        self.longest_turn_us
+    }
+
     /// A session is ready to be read. The caller sees to it that each is named once until it is picked.
     pub fn ready(&mut self, who: Handle, standing: Standing, group: u32, now_us: u64) {
-        let least = self.least_pass();
         let early = standing > Standing::Active && self.backlog_us() > self.limits.patience_us / 2;
         let queue = &mut self.queues[if early { EARLY } else { standing as usize }];
         if queue.waiting == 0 {
-            // Who had nobody waiting has saved nothing up.
-            queue.pass = queue.pass.max(least);
+            // Who had nobody waiting has saved nothing up, also where nobody else waits now.
+            queue.pass = queue.pass.max(self.reached);
         }
         queue.push(group, Pick { who, ready_us: now_us, early });
     }
 
-    fn least_pass(&self) -> u64 {
-        self.queues[1..].iter().filter(|q| q.waiting > 0).map(|q| q.pass).min().unwrap_or(0)
-    }
-
     /// Work was done in this turn.
     pub fn charge(&mut self, work: Work, amount: usize) {
         let amount = if work == Work::Bytes { amount as f64 / BLOCK } else { amount as f64 };
@@ -292,6 +300,7 @@
             waiting.min_by_key(|at| self.queues[*at].pass)?
         };
         let pick = self.queues[at].pop()?;
+        self.reached = self.reached.max(self.queues[at].pass);
         self.queues[at].pass += STRIDES[at];
         self.reads += 1;
         self.charge(Work::Read, 1);
@@ -301,6 +310,7 @@
 
     /// The turn is over and its work took so many microseconds.
     pub fn end_turn(&mut self, took_us: u64) {
+        self.longest_turn_us = self.longest_turn_us.max(took_us);
         self.costs.learn(&self.done, took_us as f64);
         self.done = [0.0; WORKS];
         self.reads = 0;
@@ -410,6 +420,22 @@
         assert!(second[..2].iter().any(|p| p.who == all[5000]), "it is read in its first turn");
     }
 
+    #[test]
+    fn a_crowd_has_saved_nothing_up_while_others_were_served() {
+        let all = handles(5001);
+        let mut governor = learned(40.0);
+        for n in 0..10_000 {
+            governor.ready(all[5000], Standing::Active, 1, n);
+            assert_eq!(turn(&mut governor, n).len(), 1);
+            governor.end_turn(40);
+        }
+        all[..5000].iter().for_each(|h| governor.ready(*h, Standing::Woken, 2, 0));
+        turn(&mut governor, 0);
+        governor.end_turn(4000);
+        governor.ready(all[5000], Standing::Active, 1, 0);
+        assert!(turn(&mut governor, 0)[..4].iter().any(|p| p.who == all[5000]));
+    }
+
     #[test]
     fn nobody_starves_whatever_else_is_ready() {
         let all = handles(400);
