--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -357,6 +357,7 @@
 
     /// Parks a session if it is idle. What it held beyond its slot is given back.
     pub fn park(&mut self, who: Handle) -> bool {
+        let mut buffers = 0;
         let parked = self.table.park(who, |live| {
             let idle = match &live.session {
                 Session::Pg(s) => s.is_idle(),
@@ -372,6 +373,7 @@
                         Session::Pg(_) => Asleep::Pg,
                         Session::MySql(s) => Asleep::MySql(s.park()),
                     };
+                    buffers = live.booked.buffers;
                     Ok(Parked { stream, secret: live.secret, group: live.group, asleep })
                 }
                 Err(conn) => {
@@ -382,6 +384,7 @@
         });
         if parked {
             self.ledger.book(Kind::Sessions, size_of::<Live>(), 0);
+            self.ledger.book(Kind::Buffers, buffers, 0);
         }
         parked
     }
--- a/gateway/tests/idle.rs
+++ b/gateway/tests/idle.rs
@@ -309,3 +309,31 @@
     thread::sleep(Duration::from_secs(3));
     assert_eq!(gateway.turns() - before, 1, "but for the one that tells this");
 }
+
+/// Guards the ledger: what a session held is given back when it is parked, and when it ends.
+#[test]
+fn what_was_held_for_requests_is_given_back_whatever_became_of_them() {
+    let seen = Seen::default();
+    let engine = Engine::start("e1", &seen, 0);
+    let gateway = Gateway::start_as(&[&engine], true, None, "[clients]\nmost_sessions = 100\n", None);
+    let mut clients = idle(&gateway, 4);
+    let mut units: Vec<_> = (0..4).map(|_| mysql::Client::connect(gateway.mysql())).collect();
+    for n in 0..200 {
+        assert!(is_served(&clients[n as usize % 4].query(&text("lookup", n))));
+        assert_eq!(clients[n as usize % 4].query("SELECT 1 without fields"), clients[0].query("SELECT 1 x"));
+        units[n as usize % 4].query("/* c=lookup,h=20 */ SELECT v FROM a_1.b", &[]);
+    }
+    // Some leave with a request open, or with half a message.
+    engine.set_work_ms(1000);
+    clients[0].send(&text("lookup", 1000));
+    clients[1].raw(b"Q\0\0\x10\0half");
+    thread::sleep(Duration::from_millis(100));
+    clients.truncate(1);
+    is_served(&clients[0].answer());
+    drop(units);
+    thread::sleep(Duration::from_millis(300));
+    let (_, log) = gateway.end();
+    for key in ["held_buffers=", "held_requests=", "held_results=", "held_statements="] {
+        assert_eq!(common::figure(&log, key), 0, "{key} of {log}");
+    }
+}
