Keep an owner's timer in one place for clients and engines; drop what nothing calls

Cause: clients and connections to engines each had the same choice between arming, moving and cancelling their timer, and three small functions of this work had no caller or only passed a call on. Change: Wheel::keep makes that choice for both; heap_bytes of wheel and table and charge_bytes are gone.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -104,7 +104,7 @@
         let read = live.conn.input.len().saturating_sub(before);
         live.more = end == ReadEnd::More;
         let open = live.conn.phase == Phase::Open;
-        self.sessions.charge_bytes(read);
+        self.sessions.governor.charge(Work::Bytes, read);
         if open {
             self.client_messages(who);
         }
@@ -241,16 +241,7 @@
             return self.client_messages(who);
         }
         let due_us = live.due_us();
-        if due_us != live.timer.map(|(at_us, _)| at_us) {
-            live.timer = match (live.timer, due_us) {
-                (Some((_, id)), Some(due_us)) if self.timers.rearm(id, due_us) => Some((due_us, id)),
-                (Some((_, id)), None) => {
-                    self.timers.cancel(id);
-                    None
-                }
-                (_, due_us) => due_us.map(|due_us| (due_us, self.timers.arm(due_us, Alarm::Client(who)))),
-            };
-        }
+        self.timers.keep(&mut live.timer, due_us, Alarm::Client(who));
         let (used, since_us) = (live.used(), live.owes_us.unwrap_or(now_us));
         if live.has_more() {
             live.more = false;
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -384,20 +384,9 @@
         }
         let Some(peer) = self.pools.peers.get(at).and_then(Option::as_ref) else { return };
         let due_us = self.link_due_us(peer);
-        let (serial, timer) = (peer.serial, peer.timer);
-        if due_us == timer.map(|(at_us, _)| at_us) {
-            return;
-        }
-        let timer = match (timer, due_us) {
-            (Some((_, id)), Some(due_us)) if self.timers.rearm(id, due_us) => Some((due_us, id)),
-            (Some((_, id)), None) => {
-                self.timers.cancel(id);
-                None
-            }
-            (_, due_us) => due_us.map(|due_us| (due_us, self.timers.arm(due_us, Alarm::Link(at, serial)))),
-        };
         if let Some(peer) = self.pools.peer(at) {
-            peer.timer = timer;
+            let alarm = Alarm::Link(at, peer.serial);
+            self.timers.keep(&mut peer.timer, due_us, alarm);
         }
     }
 
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -455,11 +455,6 @@
     pub fn is_writing(&self) -> bool {
         self.table.all_hot().any(|live| !live.conn.output.is_empty())
     }
-
-    /// A read of so many bytes is charged.
-    pub fn charge_bytes(&mut self, bytes: usize) {
-        self.governor.charge(Work::Bytes, bytes);
-    }
 }
 
 impl fmt::Display for Sessions {
--- a/sessions/src/table.rs
+++ b/sessions/src/table.rs
@@ -144,11 +144,6 @@
         size_of::<Slot<C, H>>()
     }
 
-    /// Bytes of heap that the table holds, without what hot parts hold beyond themselves.
-    pub fn heap_bytes(&self) -> usize {
-        self.slots.capacity() * Self::slot_bytes() + self.hot * size_of::<H>()
-    }
-
     /// The handle that the next session will have, so that a socket can be registered under it.
     pub fn next_handle(&self) -> Handle {
         match self.slots.get(self.free as usize) {
--- a/sessions/src/wheel.rs
+++ b/sessions/src/wheel.rs
@@ -114,12 +114,6 @@
         self.armed == 0
     }
 
-    /// Bytes of heap that the wheel holds at most; slots that were never used are not resident.
-    pub fn heap_bytes(&self) -> usize {
-        let slots = self.slots.len() * size_of::<u64>() + size_of::<[Occupied; LEVELS]>();
-        self.entries.capacity() * size_of::<Entry<T>>() + slots
-    }
-
     fn slot(&self, at: usize) -> Slot {
         let ends = self.slots[2 * at];
         let end = |n: u64| (n as u32).wrapping_sub(1);
@@ -177,6 +171,22 @@
         true
     }
 
+    /// Sees to it that a timer which its owner keeps with its time is armed for `due_us`, or for nothing: armed,
+    /// moved or cancelled as need be.
+    pub fn keep(&mut self, timer: &mut Option<(u64, TimerId)>, due_us: Option<u64>, value: T) {
+        if due_us == timer.map(|(at_us, _)| at_us) {
+            return;
+        }
+        *timer = match (*timer, due_us) {
+            (Some((_, id)), Some(due_us)) if self.rearm(id, due_us) => Some((due_us, id)),
+            (Some((_, id)), None) => {
+                self.cancel(id);
+                None
+            }
+            (_, due_us) => due_us.map(|due_us| (due_us, self.arm(due_us, value))),
+        };
+    }
+
     /// Takes a timer out; `None` if it is not armed any more.
     pub fn cancel(&mut self, id: TimerId) -> Option<T> {
         if !self.is_armed(id) {
