Take a refused connection for no proof that a query sent earlier has ended

The engines had been draining since 7.2 s: they refuse new connections and run on what they run. The call that gives the query up was refused, which the gateway took for the end of its process, and a second copy went elsewhere.

At fault: engine_gone (a refused DELETE ended the attempt as withdrawn), stop (the same where connect fails at once), resume (a refused call for news ended it as broken, after which another attempt may follow). By the protocol a refused connection proves that nothing ran of what was to go over it, no more; engines that hold all the connections they may refuse too.

Tests: two in gateway/tests/fronts.rs against an engine that refuses new connections; both fail without the change (tried: 2 copies).

--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -779,18 +779,17 @@
                 }
             }
             Job::Attempt(id) => self.resume(id, &link, end),
-            // No process is there that could run it. Else it is not known whether the engine heard the call.
-            Job::Delete(id) if end == End::Refused => self.end_attempt(id, Outcome::Withdrawn, None),
-            Job::Delete(id) => self.tell_again(id, &link),
+            Job::Delete(id) => self.tell_again(id, &link, end),
             Job::Stray { .. } => {}
         }
     }
 
     /// An attempt's connection broke, or what came over it can't be used. A query belongs to no connection: where
     /// its engine still lives, it runs on or keeps its result, and another copy elsewhere would be a second one.
-    /// So the call is made again over another connection. That is refused where the process has died, and then
-    /// the attempt is over; where nothing comes up at all, it is not to be known. An engine whose answers stay
-    /// bad is told to give the query up.
+    /// So the call is made again over another connection. That is refused where the process has died, but also by
+    /// one that drains and by one that holds all the connections it may, and these run on what they run: as where
+    /// nothing comes up at all, it is not to be known. An engine whose answers stay bad is told to give the query
+    /// up.
     fn resume(&mut self, id: AttemptId, over: &Link, end: End) {
         let unsent = self.is_unsent(id, &over.wire);
         let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
@@ -801,8 +800,7 @@
                 return self.end_attempt(id, Outcome::Unreachable, None);
             }
             (Tongue::MySql, _) => return self.end_attempt(id, Outcome::Broken, None),
-            (_, End::Refused) if again => return self.end_attempt(id, Outcome::Broken, None),
-            (_, End::Late) if again => return self.unheard(id),
+            (_, End::Refused | End::Late) if again => return self.unheard(id),
             _ if attempt.retries >= MOST_RETRIES && unsent => {
                 return self.end_attempt(id, Outcome::Unreachable, None);
             }
@@ -819,17 +817,21 @@
                 self.post_if_up(at);
             }
             Err(outcome) if unsent => self.end_attempt(id, outcome, None),
-            Err(Outcome::Unreachable) => self.end_attempt(id, Outcome::Broken, None),
             Err(_) => self.unheard(id),
         }
     }
 
-    /// The call that gives an attempt up broke off: it is made again, as long as its end is waited for.
-    fn tell_again(&mut self, id: AttemptId, over: &Link) {
+    /// The call that gives an attempt up broke off: it is made again, as long as its end is waited for. An engine
+    /// that refuses the connection may run the query on: it drains, or has all the connections that it may have.
+    fn tell_again(&mut self, id: AttemptId, over: &Link, end: End) {
         let Some(attempt) = self.pools.attempts.get_mut(&id).filter(|a| a.retries < MOST_RETRIES) else {
             return;
         };
+        tracing::debug!(ticket = attempt.ticket, number = id.1, ?end, "not told that it was given up");
         attempt.retries += 1;
+        if end == End::Refused {
+            return;
+        }
         if let (Wire::Http, Ok(at)) = (&over.wire, self.connect(over.engine, Job::Delete(id), Tongue::Http)) {
             self.post_if_up(at);
         }
@@ -889,8 +891,9 @@
         attempt.unheard = Some(self.timers.arm(self.time.now_us + UNHEARD_US, Alarm::Unheard(id)));
         match self.link(engine, Job::Delete(id), tongue, None) {
             Ok(at) => self.post_if_up(at),
-            Err(Outcome::Unreachable) => self.end_attempt(id, Outcome::Withdrawn, None),
-            Err(_) => {}
+            Err(outcome) => {
+                tracing::debug!(number = id.1, ?outcome, "no connection to give an attempt up over");
+            }
         }
     }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -76,6 +76,7 @@
     pub http: SocketAddr,
     pub mysql: SocketAddr,
     dead: Arc<AtomicBool>,
+    refuses: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     work_ms: Arc<AtomicU64>,
     mute: Arc<AtomicBool>,
@@ -122,14 +123,15 @@
             work_ms: work_ms.clone(),
             queries: Arc::default(),
         };
-        let resets = Arc::<AtomicU64>::default();
+        let (resets, refuses) = (Arc::<AtomicU64>::default(), Arc::<AtomicBool>::default());
         let listen = |serve: fn(TcpStream, Host)| {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             let address = listener.local_addr().unwrap();
             let (host, streams, resets) = (host.clone(), streams.clone(), resets.clone());
+            let refuses = refuses.clone();
             thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
-                    if host.dead.load(Ordering::SeqCst) {
+                    if host.dead.load(Ordering::SeqCst) || refuses.load(Ordering::SeqCst) {
                         return;
                     }
                     let one_less = |n: u64| n.checked_sub(1);
@@ -146,7 +148,7 @@
             address
         };
         let (http, mysql) = (listen(serve_http), listen(mysql::serve));
-        Self { name: name.to_owned(), http, mysql, dead, streams, work_ms, mute, spoilt, resets }
+        Self { name: name.to_owned(), http, mysql, dead, refuses, streams, work_ms, mute, spoilt, resets }
     }
 
     pub fn set_work_ms(&self, ms: u64) {
@@ -183,12 +185,20 @@
         }
     }
 
-    pub fn kill(&self) {
-        self.dead.store(true, Ordering::SeqCst);
+    /// Refuses new connections, as one that drains does; what it runs and the connections that it has live on.
+    pub fn refuse_new(&self) {
+        self.refuses.store(true, Ordering::SeqCst);
         for address in [self.http, self.mysql] {
-            // The listener wakes up, sees that it is dead and closes.
-            let _ = TcpStream::connect(address);
+            // The listener wakes up, sees that it is to close, and closes.
+            while TcpStream::connect(address).is_ok() {
+                thread::sleep(Duration::from_millis(1));
+            }
         }
+    }
+
+    pub fn kill(&self) {
+        self.dead.store(true, Ordering::SeqCst);
+        self.refuse_new();
         self.cut();
     }
 }
--- a/gateway/tests/fronts.rs
+++ b/gateway/tests/fronts.rs
@@ -348,6 +348,51 @@
     assert_eq!(seen.engines_of(ID).len(), 1, "what may run on is not sent elsewhere");
 }
 
+/// The engine that runs it, once one does.
+fn engine_of<'a>(seen: &Seen, id: &str, engines: &'a [Engine]) -> &'a Engine {
+    loop {
+        if let Some(name) = seen.engines_of(id).first() {
+            return engines.iter().find(|e| e.name == *name).unwrap();
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// A connection that is refused proves nothing of a query sent over another: an engine that drains, or has all
+/// the connections that it may have, refuses more and runs on what it runs.
+#[test]
+fn a_query_is_sent_nowhere_else_where_its_engine_refuses_to_be_asked_for_it() {
+    let seen = Seen::default();
+    let engines = ["e1", "e2"].map(|n| Engine::start(n, &seen, 10_000));
+    let gateway = Gateway::start(&[&engines[0], &engines[1]], false);
+    let mut client = pg::Client::connect(gateway.pg);
+    for (n, class) in ["report", "load"].into_iter().enumerate() {
+        let id = format!("{n:016x}");
+        client.send(&text(class, &id, 20_000));
+        let engine = engine_of(&seen, &id, &engines);
+        engine.refuse_new();
+        engine.cut();
+        let answer = client.answer();
+        assert_eq!(pg_refused(&answer), class == "report", "{answer:?}");
+        assert_eq!(seen.engines_of(&id).len(), 1, "it may run on where it was sent");
+    }
+}
+
+/// The same for the call that gives a query up: where that does not get through, the query may run on.
+#[test]
+fn a_query_that_is_given_up_goes_elsewhere_only_where_its_engine_was_told() {
+    let seen = Seen::default();
+    let engines = ["e1", "e2"].map(|n| Engine::start(n, &seen, 10_000));
+    let gateway = Gateway::start(&[&engines[0], &engines[1]], false);
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("lookup", ID, 3_000));
+    engine_of(&seen, ID, &engines).refuse_new();
+    // Its pace says that it will take far longer than lookups do: a fresh attempt is wanted.
+    assert!(!matches!(client.answer(), pg::Answer::Rows(_)));
+    let sent = seen.engines_of(ID).len();
+    assert!(sent == 1 || seen.deletes().contains(&ID.to_owned()), "{sent} copies, none of them given up");
+}
+
 #[test]
 fn sigterm_finishes_what_is_open_and_takes_a_little_more() {
     let seen = Seen::default();
