Take X-Shed for proof only on the first answer to the call that starts a query

Read from the code: Exchange::on_response took a marked 503 or 504 for proof that nothing ran on any call for page 0: on news, after 202 had said that the query goes on, and on a call made again over another connection, which may lead to another engine at a reused address. A load would have been sent again behind it. Such an answer now counts as spoilt: news are asked for again, and an engine that goes on so is told to give the query up.

Test: only_the_first_answer_to_the_start_proves_that_nothing_ran, which fails without the change.

--- a/gateway/src/engine/http.rs
+++ b/gateway/src/engine/http.rs
@@ -220,6 +220,8 @@
     width: Option<usize>,
     page_count: u32,
     given_up: bool,
+    /// The answer that is awaited is that to the call that starts it, on its first way.
+    starting: bool,
     /// The newest load report that came along: further pages bring none.
     pub report: Option<Report>,
 }
@@ -246,12 +248,14 @@
             width: None,
             page_count: 0,
             given_up: false,
+            starting: true,
             report: None,
         }
     }
 
     /// Writes the call whose answer was lost once more: for news, or for the page that is next.
-    pub fn ask_again(&self, out: &mut Vec<u8>) {
+    pub fn ask_again(&mut self, out: &mut Vec<u8>) {
+        self.starting = false;
         get(&self.ticket, self.pages.len() as u32, out);
     }
 
@@ -269,6 +273,7 @@
     pub fn on_response(&mut self, r: &mut Response, out: &mut Vec<u8>) -> Step {
         let wanted = self.pages.len() as u32;
         self.report = r.report.or(self.report);
+        let starting = std::mem::replace(&mut self.starting, false);
         match r.status {
             202 if self.given_up => Step::Quiet,
             202 if wanted == 0 => {
@@ -288,9 +293,12 @@
                     Step::Ended(Outcome::Success)
                 }
             }
-            // Only these prove that it never ran; the same status without the mark may hide anything.
-            503 if r.shed && wanted == 0 => Step::Ended(Outcome::Overloaded),
-            504 if r.shed && wanted == 0 => Step::Ended(Outcome::Void),
+            // Only these prove that it never ran, and only for the call that starts it: behind an answer that it
+            // goes on, or over another connection, perhaps to another engine at its address, they may mean the
+            // call for news. The same status without the mark may hide anything.
+            503 if r.shed && starting => Step::Ended(Outcome::Overloaded),
+            504 if r.shed && starting => Step::Ended(Outcome::Void),
+            503 | 504 if r.shed => Step::Spoilt,
             // The engine heard that it was given up before it answered what was asked last. That it knows the
             // query no more is the end that was wanted, and no fault of the engine's.
             200 | 500 if self.given_up => Step::Ended(Outcome::Withdrawn),
@@ -416,6 +424,26 @@
         assert_eq!(end(&format!("HTTP/1.1 200 x\r\nPage-Count: 4000000000\r\n{empty}")), Step::Spoilt);
     }
 
+    #[test]
+    fn only_the_first_answer_to_the_start_proves_that_nothing_ran() {
+        let empty = "Content-Length: 0\r\n\r\n";
+        for status in [503, 504] {
+            let shed = answer(&format!("HTTP/1.1 {status} x\r\nX-Shed: 1\r\n{empty}"));
+            let mut out = Vec::new();
+            let mut e = Exchange::new("aa");
+            let later = answer(&format!("HTTP/1.1 202 x\r\n{empty}"));
+            assert_eq!(e.on_response(&mut later.clone(), &mut out), Step::Asked);
+            assert_eq!(e.on_response(&mut shed.clone(), &mut out), Step::Spoilt, "{status} on news");
+            let mut e = Exchange::new("aa");
+            e.ask_again(&mut out);
+            assert_eq!(e.on_response(&mut shed.clone(), &mut out), Step::Spoilt, "{status} on a call made again");
+            let mut e = Exchange::new("aa");
+            let page = answer("HTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 2\r\n\r\na\n");
+            assert_eq!(e.on_response(&mut page.clone(), &mut out), Step::Asked);
+            assert_eq!(e.on_response(&mut shed.clone(), &mut out), Step::Spoilt, "{status} on a page");
+        }
+    }
+
     #[test]
     fn all_pages_come_before_the_end() {
         let mut e = Exchange::new("aa");
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -497,7 +497,7 @@
                 let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
                 if matches!(attempt.course, Course::Http { start: None, .. }) {
                     // It was sent long ago; news of it may be asked for wherever the engine stands.
-                    if let Course::Http { exchange, .. } = &attempt.course {
+                    if let Course::Http { exchange, .. } = &mut attempt.course {
                         exchange.ask_again(out);
                     }
                     return;
