Bound secondary work and cold engines by what all gateways send, not each one's share

1. cold_budget_admits divided the budget by all gateways, but each works with 9 or so of 80 engines. What the others may send nobody did. A gateway that works with an engine now has the part of those that, as chance has it, do not. 2. Attempts were charged at the usual latency of their class and settled at the end, bounded: in a jam, reports of 20 s were charged as if they had taken 2.5. What runs on is charged as it goes, with one bound on the debt. 3. Loop::close left E alone where no dashboard completed on that engine. With a dashboard on an engine every 20 s, no C ever moved. It follows the mean over all engines. 4. The jam's bound counted cold and silent engines in full. 5. Reports of this platform name queries that wait for memory; where engines page, none ever waits. Dashboards go ahead (16 to 1) and saw the jam 6 s late. Where reports have told nothing and a share of an engine is under two threads, the times its work that secondary work takes stands in for R, as without reports, at the aim where the engine is full.

release asks which engines admit a class once till the next send, not once for each held request: held times engines became classes times engines.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -159,7 +159,7 @@
     None,
     /// Answers and probes bring them.
     Answers,
-    /// Probes alone bring them, and are allowed.
+    /// Probes alone bring them, and are allowed. The module asks for none: its own attempts tell it.
     Probes,
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,7 @@
 const PACE_NEWEST: f64 = 0.2; // weight of the newest attempt in an engine's pace
 const SILENT: f64 = 8.0; // usual latencies for which a dashboard may be out with no answer from its engine
 const PAUSE: (f64, f64) = (1.0, 8.0); // first and longest pause in seconds before a bad engine is tried again
-// Periods of news without any word of an attempt, or with none but that it goes on, after which it is over
-// and its answer lost, or stands still.
+// Periods of news with no word of an attempt, or none but that it goes on: it is lost, or stands still.
 const LOST: (f64, f64) = (1.5, 2.6);
 const ERRED: (f64, f64) = (0.03, 0.5); // strikes of an error: at once, and once another engine did better
 const WELL: u32 = 16; // attempts out at which an engine on its way back counts as well again
@@ -43,16 +42,15 @@
 const STUCK: f64 = 4.0; // times what it should take that an attempt may be out with no word of its progress
 const STANDS: (f64, f64) = (4.0, 0.03); // threads a core that standing still counts as; a share that is none
 const COLD_SAFETY: f64 = 0.3; // share of a cold engine's work budget that is used
+const WORKED: f64 = 0.75; // share of it for the gateways that work with the engine, as chance has it
 const PATIENCE: (f64, f64) = (0.25, 0.5); // share of what the aim leaves to be held: dashboards, secondary
 const LOOK: f64 = 0.05; // seconds between looks at what no event announces
-const SIGHT: f64 = 0.25; // seconds for which a probe's report lets secondary work pass
-const PROBES: (f64, usize) = (1.0, 3); // probes earned by a request taken; asked at once for one that waits
 const NEWEST: f64 = 0.1; // weight of the newest value in running means
+const TOLD: f64 = 0.1; // share done from which an attempt's progress tells its pace
 const HEAVY: f64 = 30.0; // times the mean estimate that one counts as at most: anyone may claim anything
 
-/// Which classes are dashboards, from settings alone: of the classes that are no loads, those with the
-/// fewest threads, and of these the ones whose aim is within twice the shortest. A class that fills
-/// the smallest machine alone is never light; then everything is secondary.
+/// Which classes are dashboards, from settings alone: of those that are no loads, the ones with the fewest
+/// threads whose aim is within twice the shortest. One that fills the smallest machine alone is never light.
 fn dashboards(s: &Settings) -> Vec<bool> {
     let cores = s.kinds.iter().map(|k| k.cores).fold(f64::INFINITY, f64::min);
     let light = |c: &&Class| !c.load && f64::from(c.threads) < cores.max(2.0);
@@ -76,8 +74,8 @@
     completed: u32, // Dashboard completions of this control interval: how many, and their latencies' sum.
     latency_sum: f64,
     opened: f64,
-    ceiling: f64, // The most that C may be.
-    used: f64,    // Most secondary threads out in this control interval.
+    ceiling: f64, // The most that C may be, and the most secondary threads out in this control interval.
+    used: f64,
 }
 
 /// What loops are set by: RS, and for each core KI and the start of C.
@@ -110,19 +108,31 @@
     }
 
     /// Closes the control interval if it is over. Where it has fewer than q completions, R is filled up to
-    /// q with the mean over all engines: a few of them are noise.
-    /// Where no answer tells how full the engine is, that stands in for R, at the aim where the bar is.
-    fn close(&mut self, now: f64, pooled: f64, fullness: f64, t: &LoopTerms) {
+    /// q with the mean over all engines: a few of them are noise, and of many gateways each sees few.
+    fn close(&mut self, now: f64, p: &Pool, fullness: f64, t: &LoopTerms) {
         if self.completed < MIN_COMPLETIONS && now - self.opened < INTERVAL_CAP {
             return;
         }
-        // Sample. Without a completion E stays.
+        // Sample. Without a completion on any engine E stays.
+        let heard = p.heard > self.opened || self.completed > 0;
         let completed = f64::from(self.completed);
         let missing = (f64::from(MIN_COMPLETIONS) - completed).max(0.0);
-        let r = (self.latency_sum + missing * pooled) / (completed + missing);
-        let r = if t.stand_in { r.max(t.objective * fullness / BAR) } else { r };
+        let r = (self.latency_sum + missing * p.mean) / (completed + missing);
+        // Where no answer tells how full the engine is, that stands in for R, at the aim where the bar is;
+        // where shares are thin and reports tell nothing, at the aim where it is full: few dashboards see it.
+        let blind = !p.reported && self.unit(t) < 1.0;
+        let r = r.max(match t.stand_in {
+            true => t.objective * fullness / BAR,
+            false => {
+                if blind {
+                    t.objective * fullness
+                } else {
+                    0.0
+                }
+            }
+        });
         (self.completed, self.latency_sum, self.opened) = (0, 0.0, now);
-        if completed == 0.0 {
+        if !heard {
             return;
         }
         // An interval over its aim shows that C was above the engine's peak: halve its bound, so that it
@@ -184,11 +194,11 @@
     fullness: Option<(f64, f64)>, // How full it last said that it is, and when.
     memory_mb: f64,
     need_mb: f64,      // What this gateway's attempts there need of it, by their estimates.
-    probed: f64,       // When it was last probed.
     pace: (f64, f64),  // Running mean of how long attempts took over the usual of their class, and when.
     stuck: (f64, f64), // The same of the share that stood still where others ran well.
     order: u32, // This gateway's own order of engines, and whether it is among those it works with now.
     working: bool,
+    part: f64, // Times an even share of its cold budget that this gateway may use.
     cold_sends: VecDeque<(f64, f64, bool)>, // Work sent since it started cold: when and how much.
 }
 
@@ -231,7 +241,7 @@
         let lane = |(at, _, dashboard): &&(f64, f64, bool)| *at > now - span && *dashboard == view.dashboard;
         let spent: f64 = self.cold_sends.iter().filter(lane).map(|(_, w, _)| w).sum();
         let capacity = warmth * self.feedback.cores * 0.85 * span;
-        let budget = 0.5 * COLD_SAFETY * s.rules.fall_multiple * capacity / f64::from(s.gateways);
+        let budget = 0.5 * COLD_SAFETY * s.rules.fall_multiple * capacity * self.part / f64::from(s.gateways);
         let age = now - self.entry.started.unwrap_or(now);
         let window = (age.max(0.0) / span + fraction(self.order)) as u64;
         let chance = if window == 0 { 0 } else { Pcg32::new(u64::from(self.order), window).next_u32() };
@@ -243,8 +253,9 @@
 struct ClassView {
     dashboard: bool,
     memory_mb: f64,
-    work: f64,    // Mean work of all threads of a request; at first what its aim allows.
-    latency: f64, // Mean latency of its attempts; at first half its aim.
+    work: f64,         // Mean work of all threads of a request; at first what its aim allows.
+    latency: f64,      // Mean latency of its attempts; at first half its aim.
+    times: (f64, f64), // Mean of the times its estimate that its attempts take, and the lowest that was.
 }
 
 impl ClassView {
@@ -278,9 +289,10 @@
     need_mb: f64,
     due: f64,     // How long it should take on an engine that is neither jammed nor ill.
     charged: f64, // Seconds that the pool was charged for.
+    work: f64,    // Its estimate, or none.
 }
 
-/// The line of one key: requests in order, attempts out, and until when whose attempts rest.
+/// The line of one key: requests in order, attempts out, until when whose attempts rest.
 #[derive(Default)]
 struct KeyLine {
     order: VecDeque<RequestId>,
@@ -289,7 +301,7 @@
 }
 
 /// This gateway's threads on all engines, and what they may be together: where a share of an engine is under
-/// a thread, a thread on each would pass any C. So C binds as a sum over engines and a mean over time.
+/// a thread, one on each would pass any C. So C binds as a sum over engines and a mean over time.
 #[derive(Default)]
 struct Pool {
     cores: f64,
@@ -299,11 +311,13 @@
     debt: f64,
     at: f64,
     fullness: Option<f64>, // How full engines say that they are, in the mean of late answers.
-    width: f64,            // Threads and memory of a query, in the mean of those that are out.
+    reported: bool,        // Reports do say so; else when the pace of secondary work said it last.
+    paced: f64,
+    width: f64, // Threads and memory of a query, in the mean of those that are out.
     memory_mb: f64,
-    probes: f64, // Probes that may be sent.
-    mean: f64,   // R over all engines.
-    pace: f64,   // The engines' mean pace.
+    mean: f64, // R over all engines, and when it was told last.
+    heard: f64,
+    pace: f64, // The engines' mean pace.
     started: Option<f64>,
     looks: bool, // A look is due; none is while nothing is asked or out.
 }
@@ -315,9 +329,15 @@
         e.fullness.map_or(mean, |(f, at)| mean + (f - mean) * (-(now - at) / REPORT_LIFE).exp())
     }
 
-    fn told(&mut self, fullness: f64) {
+    fn told(&mut self, fullness: f64, newest: f64) {
         let mean = self.fullness.get_or_insert(fullness);
-        *mean += NEWEST * (fullness - *mean);
+        *mean += newest * (fullness - *mean);
+    }
+
+    /// Bounded: a heavy report had barred its gateway for a minute, as lost answers and hangs would.
+    fn charge(&mut self, thread_seconds: f64) {
+        let most = (SAVED * self.sum_c).max(self.debt);
+        self.debt = (self.debt + thread_seconds).min(most);
     }
 
     /// Thread-seconds are earned at C, spent by what is sent, and saved up for a while only.
@@ -364,6 +384,7 @@
             memory_mb: 0.0,
             work: c.aim * f64::from(c.threads),
             latency: 0.5 * c.aim,
+            times: (0.0, if settings.allowed.reports == Reports::None { 1.0 } else { f64::INFINITY }),
         };
         let classes: Vec<_> = settings.classes.iter().zip(&light).map(view).collect();
         let aims = settings.classes.iter().zip(&light).filter(|(_, d)| **d).map(|(c, _)| c.aim);
@@ -398,16 +419,11 @@
             Event::Arrived(request) => self.arrived(now, request, actions),
             Event::Ended { .. } => self.ended(now, event, actions),
             Event::Aborted(id) => self.forget(*id, actions),
-            Event::Timer(LOOK_TOKEN) => {
-                self.pooled.looks = false;
-                self.look(now, actions);
-            }
+            Event::Timer(LOOK_TOKEN) => self.look(now, actions),
             Event::Timer(ASK_TOKEN) => actions.push(Action::Subscribe),
             Event::Timer(token) => self.give_up(RequestId(token - 1), None, actions),
             Event::Noted { request, attempt, note } => self.noted(now, (*request, *attempt), *note, actions),
-            Event::Probed { engine, outcome, report, .. } => {
-                self.probed(now, *engine, *outcome, report.as_ref());
-            }
+            Event::Probed { engine, report, .. } => self.reported(now, *engine, report.as_ref()),
             Event::Started { .. } => {}
         }
         self.release(now, actions);
@@ -428,9 +444,7 @@
             return;
         }
         if mode != ListMode::Delta {
-            for engine in self.engines.values_mut() {
-                engine.entry.state = EngineState::Gone;
-            }
+            self.engines.values_mut().for_each(|e| e.entry.state = EngineState::Gone);
         }
         for entry in entries {
             let restarted = |e: &Engine| entry.started.is_some() && entry.started != e.entry.started;
@@ -443,8 +457,7 @@
         self.count_pool(now);
     }
 
-    /// Forgets engines that have gone once no attempt is out there: else they grow in number for good, and
-    /// the mean pace becomes that of engines long gone.
+    /// Forgets engines that have gone once no attempt is out there: else their number grows for good.
     fn prune(&mut self) {
         self.engines.retain(|_, e| e.entry.state != EngineState::Gone || e.threads > 0.0);
     }
@@ -456,8 +469,6 @@
 
     /// Counts the engines that may be sent to and adds up their C.
     fn count_pool(&mut self, now: f64) {
-        let engines = self.engines.values().filter(|e| e.entry.state == EngineState::Ready);
-        self.pooled.cores = engines.map(|e| e.feedback.cores).sum();
         // The working set: the first fit engines in this gateway's own order, as many as it has requests for.
         let life = now - self.pooled.started.unwrap_or(now);
         let rate = if life < INTERVAL_CAP { f64::INFINITY } else { self.arrivals as f64 / life };
@@ -475,13 +486,26 @@
             e.feedback.threshold * e.warmth(now, rules) / (e.pace(now) / self.pooled.pace).max(1.0)
         };
         self.pooled.sum_c = self.engines.values().filter(|e| ready(e)).map(c).sum();
+        let cores = |e: &Engine| e.feedback.cores * e.warmth(now, rules);
+        self.pooled.cores = self.engines.values().filter(|e| ready(e)).map(cores).sum();
+        // Of the own zone and of others: the engines that may be sent to, and of these those worked with.
+        let (mut may, mut work) = ([0.0; 2], [0.0; 2]);
+        let home = |e: &Engine| usize::from(self.s.zone == Some(e.entry.zone));
         for e in self.engines.values_mut() {
             e.working = e.order <= last && fit(e);
+            may[home(e)] += f64::from(u8::from(ready(e)));
+            work[home(e)] += f64::from(u8::from(e.working));
+        }
+        let most = 1.0 + f64::from(self.s.gateways) / 8.0;
+        for e in self.engines.values_mut() {
+            let among = work[home(e)] / may[home(e)].max(1.0);
+            let part = |among: f64, part: f64| if among < 1.0 { (part / among).min(most) } else { 1.0 };
+            e.part = if e.working { part(among, WORKED) } else { part(1.0 - among, 1.0 - WORKED) };
         }
     }
 
-    /// A new engine, or one that has restarted. Whatever it is, it gets little until it has answered:
-    /// the list may be stale and its process gone, as it is for a gateway that has just come back.
+    /// A new engine, or one that has restarted. It gets little until it has answered: the list may be stale
+    /// and its process gone, as it is for a gateway that has just come back.
     fn meet(&mut self, now: f64, entry: &EngineEntry) {
         let known = self.s.kinds.get(entry.kind.0);
         let memory_mb = known.map_or(0.0, |k| k.memory_mb);
@@ -498,18 +522,17 @@
             fullness: None,
             memory_mb,
             need_mb: 0.0,
-            probed: f64::NEG_INFINITY,
             pace: (1.0, now),
             stuck: (0.0, now),
             order: self.rng.next_u32() / if self.s.zone == Some(entry.zone) { 2 } else { 1 },
             working: true,
+            part: 1.0,
             cold_sends: VecDeque::new(),
         };
         let old = self.engines.insert(entry.engine, fresh);
         if let (Some(old), Some(e)) = (old, self.engines.get_mut(&entry.engine)) {
             (e.threads, e.secondary, e.need_mb) = (old.threads, old.secondary, old.need_mb);
-            e.order = old.order;
-            e.health.spell = old.health.spell + 1;
+            (e.order, e.health.spell) = (old.order, old.health.spell + 1);
         }
     }
 
@@ -525,14 +548,12 @@
     fn arrived(&mut self, now: f64, request: &Request, actions: &mut Vec<Action>) {
         self.arrivals += 1;
         self.taken.push_back(now);
-        self.pooled.probes = (self.pooled.probes + PROBES.0).min(2.0 * PROBES.1 as f64);
         if let Some(work) = request.estimate {
             let mean = &mut self.classes[request.class.0].work;
             *mean += NEWEST * (work.min(HEAVY * *mean) - *mean);
         }
-        if let Some(key) = self.key_of(request) {
-            self.keys.entry(key).or_default().order.push_back(request.id);
-        }
+        let key = self.key_of(request);
+        key.into_iter().for_each(|k| self.keys.entry(k).or_default().order.push_back(request.id));
         // The end is planned at once, whatever becomes of attempts, lists and other timers.
         let delay = (request.deadline - self.s.resolution - now).max(0.0);
         actions.push(Action::SetTimer { delay, token: request.id.0 + 1, of: Some(request.id) });
@@ -558,15 +579,12 @@
         request.key.filter(|_| self.s.classes[request.class.0].keep_order)
     }
 
-    /// The final answer to a request that is not served: refused where trying again is harmless, else failed.
+    /// The final answer to one that is not served: refused where trying again is harmless, else failed.
     fn give_up(&mut self, id: RequestId, retry_after: Option<f64>, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let ran = job.out || job.may_have_run.is_some();
-        let harmless = match self.s.classes[job.request.class.0].effect {
-            Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => !ran,
-        };
-        if harmless {
+        let effect = self.s.classes[job.request.class.0].effect;
+        if !ran || matches!(effect, Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. }) {
             // Spread, so that clients do not come back in step.
             let spread = 0.5 + 0.5 * self.chance();
             let wait = retry_after.filter(|_| self.s.allowed.retry_after);
@@ -586,20 +604,17 @@
         }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.held.remove(&job.place);
-        if let Some(line) = self.key_of(&job.request).and_then(|k| self.keys.get_mut(&k)) {
-            line.order.retain(|r| *r != id);
-        }
+        let line = self.key_of(&job.request).and_then(|k| self.keys.get_mut(&k));
+        line.into_iter().for_each(|line| line.order.retain(|r| *r != id));
     }
 
     fn ended(&mut self, now: f64, event: &Event, actions: &mut Vec<Action>) {
-        let Event::Ended { request: id, attempt: number, engine, outcome, elapsed, settled, cost, report } =
-            *event
+        let &Event::Ended { request: id, attempt, engine, outcome, elapsed, settled, cost, report } = event
         else {
             return;
         };
         self.reported(now, engine, report.as_ref());
-        let which = (id, number);
-        let Some(attempt) = self.attempts.remove(&which) else { return };
+        let Some(attempt) = self.attempts.remove(&(id, attempt)) else { return };
         let may_run = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn);
         if let Some(line) = attempt.key.and_then(|k| self.keys.get_mut(&k)) {
             line.out -= 1;
@@ -619,11 +634,10 @@
                 actions.push(Action::Fail(id));
                 return self.forget(id, actions);
             }
-            first => {
-                if let Some(e) = first.and_then(|first| self.engines.get_mut(&first)) {
-                    e.health.strike(now, ERRED.1);
-                }
+            Some(first) => {
+                self.engines.get_mut(&first).into_iter().for_each(|e| e.health.strike(now, ERRED.1))
             }
+            None => {}
         }
         if settled {
             self.forget(id, actions);
@@ -647,10 +661,14 @@
         a.heard = now;
         a.noted = if note == Note::Running { a.noted } else { now };
         // An engine that sends news is not silent, even where it answers this gateway nothing for long.
-        if let Some(e) = self.engines.get_mut(&a.engine) {
-            e.health.last_answer = now;
-        }
+        self.engines.get_mut(&a.engine).into_iter().for_each(|e| e.health.last_answer = now);
         let Note::Progress(share) = note else { return };
+        let (engine, class, sent) = (a.engine, a.class, a.sent);
+        let times = (now - sent) * f64::from(self.s.classes[class.0].threads) / (a.work * share);
+        if share > TOLD {
+            self.paced(now, engine, class, times);
+        }
+        let Some(a) = self.attempts.get(&which) else { return };
         let Some(job) = self.jobs.get_mut(&which.0) else { return };
         let age = now - a.sent;
         let left = age * (1.0 - share) / share.max(1e-3);
@@ -663,10 +681,9 @@
             return;
         }
         job.withdrawn = true;
-        if hopeless {
-            self.give_up(which.0, None, actions);
-        } else {
-            actions.push(Action::Cancel { request: which.0, attempt: which.1 });
+        match hopeless {
+            true => self.give_up(which.0, None, actions),
+            false => actions.push(Action::Cancel { request: which.0, attempt: which.1 }),
         }
     }
 
@@ -696,25 +713,31 @@
         let sane = figures.into_iter().flatten().filter(|f| (0.0..1e6).contains(f));
         let Some(fullness) = sane.reduce(f64::max).map(|f| f.min(3.0)) else { return };
         e.fullness = Some((fullness, now));
-        self.pooled.told(fullness);
+        self.pooled.told(fullness, NEWEST);
+        self.pooled.reported = true;
     }
 
-    /// A probe's result is a report; an engine that answers none is full at the least.
-    fn probed(&mut self, now: f64, id: EngineId, outcome: Outcome, report: Option<&Report>) {
-        let Some(e) = self.engines.get_mut(&id) else { return };
-        match outcome {
-            Outcome::Success => self.reported(now, id, report),
-            Outcome::Unreachable => e.health.strike(now, 1.0),
-            _ => e.fullness = Some((1.0, now)),
+    /// Where no report tells how full engines are, secondary work does, by the times its work that it takes.
+    fn paced(&mut self, now: f64, engine: EngineId, class: ClassId, times: f64) {
+        let (view, Some(e)) = (&mut self.classes[class.0], self.engines.get_mut(&engine)) else { return };
+        if view.dashboard || self.pooled.reported || !times.is_finite() {
+            return;
         }
+        let times = times * e.warmth(now, &self.s.rules);
+        let newest = if view.times.0 > 0.0 { NEWEST } else { 1.0 };
+        view.times.0 += newest * (times.min(HEAVY * view.times.0.max(1.0)) - view.times.0);
+        view.times.1 = view.times.0.min(view.times.1 * 1.001);
+        let fullness = (BAR / SLOW_FACTOR * times / view.times.1).min(2.0);
+        // It tells seldom: by number alone the mean would stay for long behind a jam that is over.
+        let since = now - std::mem::replace(&mut self.pooled.paced, now);
+        self.pooled.told(fullness, NEWEST.max(1.0 - (-since / REPORT_LIFE).exp()));
+        e.fullness = Some((fullness, now));
     }
 
     /// What an outcome tells of the engine and of the class.
     fn learn(&mut self, now: f64, attempt: &Attempt, outcome: Outcome, elapsed: f64, cost: Option<Cost>) {
-        let class = &self.s.classes[attempt.class.0];
-        let threads = f64::from(class.threads);
-        let terms = self.loop_terms();
-        let view = &mut self.classes[attempt.class.0];
+        let threads = f64::from(self.s.classes[attempt.class.0].threads);
+        let (terms, view) = (self.loop_terms(), &mut self.classes[attempt.class.0]);
         let Some(e) = self.engines.get_mut(&attempt.engine) else { return };
         e.threads -= threads;
         e.need_mb -= attempt.need_mb;
@@ -722,13 +745,10 @@
         if !view.dashboard {
             e.secondary -= threads;
             self.pooled.secondary -= threads;
-            // Bounded: a heavy report had barred its gateway for a minute, as lost answers and hangs would.
-            self.pooled.debt += (threads * (elapsed - attempt.charged)).min(SAVED * self.pooled.sum_c);
+            self.pooled.charge(threads * (elapsed - attempt.charged));
         }
         let in_spell = attempt.spell == e.health.spell;
-        if in_spell {
-            e.health.out_in_spell -= 1;
-        }
+        e.health.out_in_spell -= u32::from(in_spell);
         // An attempt waited for in vain counts as one that took so long; else only the lucky are seen.
         // One that stood still says nothing of how full the engine is.
         if matches!(outcome, Outcome::Success | Outcome::TimedOut | Outcome::Withdrawn) && !attempt.stuck {
@@ -739,6 +759,7 @@
                 e.feedback.completed += 1;
                 e.feedback.latency_sum += elapsed;
                 self.pooled.mean += (elapsed - self.pooled.mean) / f64::from(MIN_COMPLETIONS);
+                self.pooled.heard = now;
             }
         }
         match outcome {
@@ -748,17 +769,13 @@
                 }
                 view.latency += NEWEST * (elapsed - view.latency);
                 if let Some(cost) = cost {
-                    // Without reports the times its work that it took tell how full the engine was.
-                    if !view.dashboard && self.s.allowed.reports == Reports::None {
-                        let f = (BAR / SLOW_FACTOR * elapsed * threads / cost.work.max(1e-6)).min(3.0);
-                        self.pooled.told(f);
-                        e.fullness = Some((f, now));
-                    }
                     let newest = if view.memory_mb > 0.0 { NEWEST } else { 1.0 };
                     view.memory_mb += newest * (cost.memory_mb - view.memory_mb);
                     view.work += NEWEST * (cost.work - view.work);
                 }
                 e.health.success(now, in_spell);
+                let work = cost.map_or(attempt.work, |cost| cost.work);
+                self.paced(now, attempt.engine, attempt.class, elapsed * threads / work);
             }
             Outcome::Unreachable => e.health.strike(now, 1.0),
             Outcome::Broken => e.health.strike(now, 0.5),
@@ -772,15 +789,16 @@
             // A time-out may be a load in the way; a hang shows as silence.
             Outcome::TimedOut | Outcome::Withdrawn | Outcome::Void => {}
         }
-        let fullness = self.pooled.fullness(e, now);
-        e.feedback.close(now, self.pooled.mean, fullness, &terms);
+        let Some(e) = self.engines.get_mut(&attempt.engine) else { return };
+        e.feedback.close(now, &self.pooled, self.pooled.fullness(e, now), &terms);
     }
 
     /// What no event announces: intervals ended by the clock, silent engines, requests held too long.
     fn look(&mut self, now: f64, actions: &mut Vec<Action>) {
+        self.pooled.looks = false;
         let (mean, terms) = (self.pooled.mean, self.loop_terms());
         for e in self.engines.values_mut() {
-            e.feedback.close(now, mean, self.pooled.fullness(e, now), &terms);
+            e.feedback.close(now, &self.pooled, self.pooled.fullness(e, now), &terms);
         }
         self.light = mean.min(self.light * 1.001).min(self.objective);
         if !self.attempts.is_empty() {
@@ -799,6 +817,12 @@
             // Where news come, an attempt with none is over and its answer lost. Harmful where news get lost.
             let silent = now - a.heard > LOST.0 * may.note_period || now - a.noted > LOST.1 * may.note_period;
             let lost = may.note_period > 0.0 && silent;
+            // Out for longer than it was charged for, it is charged as it goes: in a jam all would send on.
+            let over = now - a.sent - a.charged;
+            if !view.dashboard && !a.stuck && over > 0.0 {
+                self.pooled.charge(f64::from(class.threads) * over);
+                a.charged += over;
+            }
             let Some(e) = self.engines.get_mut(&a.engine) else { continue };
             let job = self.jobs.get_mut(id).filter(|_| may.cancel && class.effect == Effect::Safe);
             let untried = job.as_ref().is_some_and(|job| !job.withdrawn);
@@ -820,8 +844,8 @@
                 e.health.strike(now, 1.0);
             }
         }
-        self.keys
-            .retain(|_, l| !l.order.is_empty() || l.out > 0 || l.rest.is_some_and(|(until, _)| now < until));
+        let rests = |l: &KeyLine| l.rest.is_some_and(|(until, _)| now < until);
+        self.keys.retain(|_, l| !l.order.is_empty() || l.out > 0 || rests(l));
         let mut overdue: Vec<RequestId> = self.held.values().copied().collect();
         overdue.retain(|id| {
             let job = &self.jobs[id];
@@ -842,7 +866,8 @@
     /// Sends every held request that may leave, oldest first; one that is stopped blocks no other, but for
     /// those of its class that need as much memory.
     fn release(&mut self, now: f64, actions: &mut Vec<Action>) {
-        // The least need of memory, by class, for which there is no engine now.
+        // By class: the engines that admit it till the next send, and the least need of memory that none has.
+        let mut admitting: Vec<Option<[Vec<EngineId>; 2]>> = vec![None; self.classes.len()];
         let mut full = vec![f64::INFINITY; self.classes.len()];
         let held: Vec<RequestId> = self.held.values().copied().collect();
         for id in held {
@@ -851,46 +876,30 @@
             if need_mb >= full[class.0] {
                 continue;
             }
+            let open = admitting[class.0].take().unwrap_or_else(|| self.admitting(class, now));
             let (mut chosen, mut blocked) = (None, 0.0_f64);
-            for working in [true, false] {
-                let admits = |e: &Engine| e.working == working && self.admits(e, class, now);
-                let mut open: Vec<EngineId> =
-                    self.engines.iter().filter(|(_, e)| admits(e)).map(|(id, _)| *id).collect();
-                let admitted = !open.is_empty();
-                open.retain(|e| self.has_memory(class, need_mb, &self.engines[e]));
-                let least = if open.is_empty() { need_mb } else { f64::INFINITY };
-                blocked = blocked.max(if admitted { least } else { 0.0 });
-                chosen = self.choose(id, &open, now);
-                if chosen.is_some() {
-                    break;
-                }
+            for engines in open.iter().filter(|engines| !engines.is_empty()) {
+                let mut roomy = engines.clone();
+                roomy.retain(|e| self.has_memory(class, need_mb, &self.engines[e]));
+                blocked = blocked.max(if roomy.is_empty() { need_mb } else { f64::INFINITY });
+                chosen = chosen.or_else(|| self.choose(id, &roomy, now));
             }
             full[class.0] = full[class.0].min(blocked);
             if let Some(engine) = chosen {
                 self.send(now, id, engine, actions);
-            } else if self.s.allowed.reports == Reports::Probes && !self.classes[class.0].dashboard {
-                self.probe(now, actions);
+                admitting.fill(None);
+                continue;
             }
+            admitting[class.0] = Some(open);
         }
     }
 
-    /// Where probes alone tell, secondary work waits for one; few are asked at once, paid for by requests.
-    fn probe(&mut self, now: f64, actions: &mut Vec<Action>) {
-        let asked = |e: &Engine| now - e.probed < SIGHT && e.fullness.is_none_or(|(_, at)| at < e.probed);
-        if self.engines.values().any(asked) {
-            return;
-        }
-        let first = self.chance();
-        let fit = |e: &&mut Engine| e.working && now - e.probed > SIGHT;
-        let mut fit: Vec<&mut Engine> = self.engines.values_mut().filter(fit).collect();
-        let most = fit.len().min(PROBES.1).min(self.pooled.probes as usize);
-        let first = (first * fit.len() as f64) as usize;
-        for i in first..first + most {
-            let at = i % fit.len();
-            fit[at].probed = now;
-            actions.push(Action::Probe(fit[at].entry.engine));
-        }
-        self.pooled.probes -= most as f64;
+    /// The engines that take a request of this class now: those worked with, and the others.
+    fn admitting(&self, class: ClassId, now: f64) -> [Vec<EngineId>; 2] {
+        [true, false].map(|working| {
+            let admits = |e: &Engine| e.working == working && self.admits(e, class, now);
+            self.engines.iter().filter(|(_, e)| admits(e)).map(|(id, _)| *id).collect()
+        })
     }
 
     /// Whether an engine takes a request of this class now: placement, health, cold start and, for secondary
@@ -913,9 +922,7 @@
             } else {
                 let threads = f64::from(c.threads);
                 (e.secondary + threads <= threshold || (e.secondary == 0.0 && p.debt <= 0.0))
-                    && (self.s.allowed.reports == Reports::None || p.fullness(e, now) < BAR)
-                    && (self.s.allowed.reports != Reports::Probes
-                        || e.fullness.is_some_and(|(_, at)| now - at < SIGHT))
+                    && (!p.reported || p.fullness(e, now) < BAR)
             }
     }
 
@@ -940,13 +947,9 @@
             let own = if dashboard { e.threads / cores } else { e.secondary - e.feedback.threshold };
             let filled = own + standing * if dashboard { 1.0 } else { cores };
             let away = if self.s.zone.is_some_and(|z| z != e.entry.zone) { HOME } else { 0.0 };
-            let rank = (
-                stands,
-                filled,
-                self.pooled.fullness(e, now) + e.pace(now) / self.pooled.pace + away + chance,
-            );
-            if best.is_none_or(|(b, _)| rank < b) {
-                best = Some((rank, *engine));
+            let last = self.pooled.fullness(e, now) + e.pace(now) / self.pooled.pace + away + chance;
+            if best.is_none_or(|(b, _)| (stands, filled, last) < b) {
+                best = Some(((stands, filled, last), *engine));
             }
         }
         best.map(|(_, engine)| engine)
@@ -1018,6 +1021,7 @@
                 * job.request.estimate.map_or(1.0, |work| (work / view.work.max(1e-6)).max(0.5))
                 / e.warmth(now, &self.s.rules),
             charged: view.latency,
+            work: job.request.estimate.unwrap_or(0.0),
         };
         e.need_mb += attempt.need_mb;
         self.attempts.insert((id, job.attempts), attempt);
@@ -1026,9 +1030,7 @@
         if job.attempts > 1 {
             self.extra.push_back(now);
         }
-        if let Some(line) = key.and_then(|k| self.keys.get_mut(&k)) {
-            line.out += 1;
-        }
+        key.and_then(|k| self.keys.get_mut(&k)).into_iter().for_each(|line| line.out += 1);
         let threads = f64::from(class.threads);
         e.threads += threads;
         let more = e.filled_by(1.0, threads, view.memory_mb);
@@ -1045,18 +1047,13 @@
             e.cold_sends.push_back((now, view.weight(class), view.dashboard));
         }
         if self.s.allowed.priorities {
-            actions.push(Action::Terms {
-                request: id,
-                memory_mb: 0.0,
-                priority: if view.dashboard { 3 } else { 1 },
-            });
+            let priority = if view.dashboard { 3 } else { 1 };
+            actions.push(Action::Terms { request: id, memory_mb: 0.0, priority });
         }
         actions.push(Action::Send { request: id, engine, timeout: None });
         let kept = now - 2.0 * self.s.rules.extra.map_or(0.0, |b| b.look_back);
         for times in [&mut self.taken, &mut self.extra] {
-            while times.front().is_some_and(|at| *at < kept) {
-                times.pop_front();
-            }
+            times.drain(..times.partition_point(|at| *at < kept));
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -228,3 +228,55 @@
     }
     assert!(work.iter().filter(|(at, _)| *at < 102.0).count() > 0, "{gateways}: it is not shunned");
 }
+
+/// The same where each gateway works with few of many engines: the budget of those that work with the cold one
+/// must make up for those that do not, or it stands idle until it is warm.
+#[test]
+fn the_gateways_that_work_with_a_cold_engine_use_the_budget_of_those_that_do_not() {
+    let (span, gateways) = (2.0, 120);
+    let mut s = settings();
+    s.gateways = gateways;
+    let template = Drive::new(s.clone(), vec![]);
+    let mut sent_cold = Vec::new();
+    for seed in 0..u64::from(gateways) {
+        let mut gateway = notchridge::Gateway::new(s.clone(), seed).unwrap();
+        let warm: Vec<_> = (1..=40).map(engine).collect();
+        gateway.on_event(100.0, &Event::List { mode: ListMode::Full, entries: warm }, &mut Vec::new());
+        for tick in 0..90u32 {
+            let now = 100.0 + f64::from(tick) * 0.2;
+            let mut actions = Vec::new();
+            if tick == 40 {
+                let entries = vec![EngineEntry { started: Some(now), ..engine(99) }];
+                gateway.on_event(now, &Event::List { mode: ListMode::Delta, entries }, &mut actions);
+            }
+            gateway.on_event(now, &Event::Timer(0), &mut actions);
+            let id = RequestId(u64::from(tick));
+            let request = Request { id, deadline: now + 4.0, ..template.request(0, LOOKUP) };
+            gateway.on_event(now, &Event::Arrived(request), &mut actions);
+            for (id, to) in sends(&actions) {
+                sent_cold.extend((to == 99).then_some(now));
+                let ended = Event::Ended {
+                    request: RequestId(id),
+                    attempt: 0,
+                    engine: EngineId(to),
+                    outcome: Outcome::Success,
+                    elapsed: 0.2,
+                    settled: true,
+                    cost: None,
+                    report: None,
+                };
+                gateway.on_event(now, &ended, &mut Vec::new());
+            }
+        }
+    }
+    // Dashboards have half of three tenths of what the rule lets through; those that work with it most of that.
+    let warmth = |from: f64| 0.3 + 0.7 * (from - 108.0) / 10.0;
+    let whole = |from: f64| 2.0 * warmth(from) * 8.0 * 0.85 * span;
+    let share = |from: f64| {
+        let sent = sent_cold.iter().filter(|at| (from..from + span).contains(*at)).count() as f64 * 0.2;
+        sent / whole(from)
+    };
+    let shares = [110.0, 112.0, 114.0].map(share);
+    assert!(shares.iter().all(|share| *share < 0.3), "{shares:?} of what it bears");
+    assert!(shares.iter().sum::<f64>() / 3.0 > 0.05, "{shares:?} of what it bears");
+}
