Test fleets of 1 to 400 gateways over drawn settings, outcomes, restarts and stale lists

tests/fleet.rs plays the module for all gateways of a fleet over shared engines, with books of its own: 1 to 400 gateways, 1 to 500 engines, 1 to 5 zones, all effects and groups, a class bound to one zone, lost answers, engines replaced, gateways killed, lists up to 2 s late. It holds: never twice, never invited again, one answer in time, nothing to an engine that is known not to be ready, no second copy, placement, the cold budget summed over gateways, and that every class is sent.

--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,355 @@
+//! Many gateways in front of shared engines, each knowing only its own: drawn settings, outcomes, lost answers,
+//! restarts and stale lists, against books that know nothing of the module. Seeds are fixed.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::*;
+use notchridge::Gateway;
+use notchridge::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// Steps of the clock, and how long it runs: till the longest deadline of the last request is over.
+const TICK: f64 = 0.1;
+const ASKING: f64 = 12.0;
+const ENDS: f64 = 24.0;
+
+fn draw(rng: &mut Pcg32, below: u32) -> u32 {
+    rng.next_u32() % below
+}
+
+struct Asked {
+    class: usize,
+    deadline: f64,
+    sends: Vec<(u32, f64, Option<Outcome>)>,
+    answered: bool,
+}
+
+impl Asked {
+    fn may_have_run(&self) -> Option<(u32, f64)> {
+        let proves = |how: Outcome| matches!(how, Outcome::Overloaded | Outcome::Unreachable | Outcome::Void);
+        self.sends.iter().find(|(.., how)| !how.is_some_and(proves)).map(|(engine, at, _)| (*engine, *at))
+    }
+}
+
+/// One gateway, what it has been told, and what it was asked.
+struct Node {
+    gateway: Gateway,
+    told: BTreeMap<u32, EngineState>,
+    list: Vec<(f64, Vec<EngineEntry>)>,
+    asked: BTreeMap<u64, Asked>,
+    timers: Vec<(f64, u64)>,
+    out: Vec<(f64, u64, u32, u32, Outcome)>,
+}
+
+struct Fleet {
+    s: Settings,
+    work: Vec<f64>,
+    engines: BTreeMap<u32, EngineEntry>,
+    nodes: Vec<Node>,
+    cold: BTreeMap<u32, Vec<(f64, f64)>>,
+    sent: Vec<u64>,
+    rng: Pcg32,
+}
+
+impl Fleet {
+    fn new(gateways: u32, engines: u32, zones: u32, seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut s = settings();
+        s.gateways = gateways;
+        s.kinds[0].memory_mb = 32_000.0;
+        s.allowed.cancel = draw(&mut rng, 2) == 0;
+        s.allowed.note_period = if draw(&mut rng, 2) == 0 { 1.0 } else { 0.0 };
+        let effects = [
+            Effect::Safe,
+            Effect::Unsafe,
+            Effect::Keyed { group: RepeatGroup::All, window: 5.0 },
+            Effect::Keyed { group: RepeatGroup::Zone, window: 5.0 },
+            Effect::Keyed { group: RepeatGroup::Cell, window: 5.0 },
+        ];
+        s.classes = vec![class(0.6, 1, 3.0), class(2.0, 4, 10.0), class(4.0, 2, 12.0), class(2.0, 4, 10.0)];
+        for (n, c) in s.classes.iter_mut().enumerate() {
+            c.effect = effects[draw(&mut rng, 5) as usize];
+            // One class may go to one zone alone.
+            c.only_zones = (n == 3).then(|| vec![ZoneId(draw(&mut rng, zones) as usize)]);
+        }
+        s.classes[2] = Class { effect: Effect::Unsafe, load: true, ..s.classes[2].clone() };
+        let entry = |id: u32| EngineEntry {
+            zone: ZoneId((id % zones) as usize),
+            cell: u64::from(id % 7),
+            ..engine(id)
+        };
+        let engines: BTreeMap<u32, EngineEntry> = (0..engines).map(|id| (id, entry(id))).collect();
+        let mut fleet = Self {
+            work: vec![0.1, 3.0, 3.0, 3.0],
+            sent: vec![0; s.classes.len()],
+            s,
+            engines,
+            nodes: Vec::new(),
+            cold: BTreeMap::new(),
+            rng,
+        };
+        for n in 0..gateways {
+            let node = fleet.start(n, 0.0);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    fn start(&mut self, n: u32, now: f64) -> Node {
+        let zones = 1 + self.engines.values().map(|e| e.zone.0).max().unwrap_or(0);
+        let s = Settings { zone: Some(ZoneId(n as usize % zones)), ..self.s.clone() };
+        let gateway = Gateway::new(s, u64::from(self.rng.next_u32())).unwrap();
+        let list = vec![(now, self.engines.values().cloned().collect())];
+        Node {
+            gateway,
+            told: BTreeMap::new(),
+            list,
+            asked: BTreeMap::new(),
+            timers: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+
+    /// A change of the list, told to each gateway by itself, some seconds late.
+    fn change(&mut self, now: f64, entry: &EngineEntry) {
+        self.engines.insert(entry.engine.0, entry.clone());
+        for node in &mut self.nodes {
+            let late = now + f64::from(draw(&mut self.rng, 20)) * 0.1;
+            let after = node.list.last().map_or(late, |(at, _)| late.max(*at));
+            node.list.push((after, vec![entry.clone()]));
+        }
+    }
+
+    fn tell(&mut self, n: usize, now: f64, event: &Event) {
+        let mut actions = Vec::new();
+        self.nodes[n].gateway.on_event(now, event, &mut actions);
+        for action in actions {
+            self.act(n, now, &action);
+        }
+    }
+
+    fn act(&mut self, n: usize, now: f64, action: &Action) {
+        match action {
+            Action::SetTimer { delay, token, .. } => self.nodes[n].timers.push((now + delay, *token)),
+            Action::Send { request, engine, .. } => self.send(n, now, request.0, engine.0),
+            Action::Cancel { request, attempt } => {
+                // Most hear that they are given up; of some the end was on its way already.
+                let heard = draw(&mut self.rng, 4) > 0;
+                let out = &mut self.nodes[n].out;
+                if let Some(o) = out.iter_mut().find(|o| (o.1, o.2) == (request.0, *attempt) && heard) {
+                    (o.0, o.4) = (o.0.min(now + 0.05), Outcome::Withdrawn);
+                }
+            }
+            Action::Refuse { request, .. } => {
+                let asked = &self.nodes[n].asked[&request.0];
+                let effect = self.s.classes[asked.class].effect;
+                let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. });
+                assert!(harmless || asked.may_have_run().is_none(), "invited to repeat what may have run");
+                self.answer(n, now, request.0);
+            }
+            Action::Fail(request) => self.answer(n, now, request.0),
+            Action::Terms { .. } | Action::Probe(_) | Action::Subscribe => {}
+        }
+    }
+
+    fn answer(&mut self, n: usize, now: f64, id: u64) {
+        let asked = self.nodes[n].asked.get_mut(&id).unwrap();
+        assert!(!asked.answered, "answered twice");
+        assert!(now <= asked.deadline + TICK, "answered too late");
+        asked.answered = true;
+    }
+
+    fn send(&mut self, n: usize, now: f64, id: u64, engine: u32) {
+        let node = &mut self.nodes[n];
+        assert_eq!(node.told.get(&engine), Some(&EngineState::Ready), "sent to one that is not ready");
+        let entry = self.engines[&engine].clone();
+        let asked = node.asked.get_mut(&id).unwrap();
+        let class = &self.s.classes[asked.class];
+        assert!(!asked.answered && asked.sends.iter().all(|(.., how)| how.is_some()), "a second copy");
+        assert!(
+            class.only_zones.as_ref().is_none_or(|z| z.contains(&entry.zone)),
+            "sent where it may not go"
+        );
+        if let Some((first, at)) = asked.may_have_run() {
+            let first = &self.engines[&first];
+            match class.effect {
+                Effect::Safe => {}
+                Effect::Unsafe => panic!("once-only work is sent again"),
+                Effect::Keyed { group, window } => {
+                    let same = match group {
+                        RepeatGroup::All => true,
+                        RepeatGroup::Zone => first.zone == entry.zone,
+                        RepeatGroup::Cell => first.cell == entry.cell,
+                    };
+                    assert!(same && now < at + window, "keyed work is repeated outside its group or window");
+                }
+            }
+        }
+        let attempt = asked.sends.len() as u32;
+        asked.sends.push((engine, now, None));
+        self.sent[asked.class] += 1;
+        let work = self.work[asked.class];
+        if entry.started.is_some() {
+            self.cold.entry(engine).or_default().push((now, work));
+        }
+        // One that has gone, and whom this gateway does not know of yet, refuses the connection.
+        let alive = entry.state != EngineState::Gone;
+        let outcome = match (alive, draw(&mut self.rng, 40)) {
+            (false, _) | (_, 0) => Outcome::Unreachable,
+            (_, 1) => Outcome::Overloaded,
+            (_, 2) => Outcome::Failure,
+            (_, 3) => Outcome::Broken,
+            (_, 4) => Outcome::TimedOut,
+            _ => Outcome::Success,
+        };
+        let takes = work / f64::from(class.threads) * (0.5 + f64::from(draw(&mut self.rng, 100)) / 50.0);
+        let quick = matches!(outcome, Outcome::Unreachable | Outcome::Overloaded);
+        node.out.push((now + if quick { 0.001 } else { takes }, id, attempt, engine, outcome));
+    }
+
+    fn end(&mut self, n: usize, now: f64) {
+        while let Some(i) = self.nodes[n].out.iter().position(|o| o.0 <= now) {
+            let (_, id, attempt, engine, outcome) = self.nodes[n].out.remove(i);
+            let asked = self.nodes[n].asked.get_mut(&id).unwrap();
+            let send = &mut asked.sends[attempt as usize];
+            (send.2, asked.answered) = (Some(outcome), asked.answered || outcome == Outcome::Success);
+            let event = Event::Ended {
+                request: RequestId(id),
+                attempt,
+                engine: EngineId(engine),
+                outcome,
+                elapsed: now - send.1,
+                settled: asked.answered,
+                cost: None,
+                report: None,
+            };
+            self.tell(n, now, &event);
+        }
+    }
+
+    fn run(&mut self, rate: f64) {
+        let known: BTreeSet<u32> = self.engines.keys().copied().collect();
+        let going: Vec<u32> = known.iter().copied().filter(|id| id % 3 == 0 && known.len() > 3).collect();
+        let mut ids = 0;
+        for tick in 0..(ENDS / TICK) as u32 {
+            let now = 1000.0 + f64::from(tick) * TICK;
+            let at = |seconds: f64| tick == (seconds / TICK) as u32;
+            for (n, id) in going.iter().enumerate() {
+                let old = self.engines[id].clone();
+                if at(4.0) {
+                    self.change(now, &EngineEntry { state: EngineState::Draining, ..old.clone() });
+                }
+                if at(6.0) {
+                    self.change(now, &EngineEntry { state: EngineState::Gone, ..old.clone() });
+                    let id = EngineId(10_000 + n as u32);
+                    let new =
+                        EngineEntry { engine: id, started: Some(now), state: EngineState::Ready, ..old };
+                    self.change(now, &new);
+                }
+            }
+            for n in 0..self.nodes.len() {
+                if at(5.0) && n % 4 == 0 {
+                    // Killed and started again: it knows nothing, and its clients ask anew.
+                    self.nodes[n] = self.start(n as u32, now);
+                }
+                while self.nodes[n].list.first().is_some_and(|(due, _)| *due <= now) {
+                    let (_, entries) = self.nodes[n].list.remove(0);
+                    let whole = self.nodes[n].told.is_empty();
+                    self.nodes[n].told.extend(entries.iter().map(|e| (e.engine.0, e.state)));
+                    let mode = if whole { ListMode::Cached } else { ListMode::Delta };
+                    self.tell(n, now, &Event::List { mode, entries });
+                }
+                self.end(n, now);
+                while let Some(i) = self.nodes[n].timers.iter().position(|(due, _)| *due <= now) {
+                    let (_, token) = self.nodes[n].timers.remove(i);
+                    self.tell(n, now, &Event::Timer(token));
+                }
+                let asks = f64::from(draw(&mut self.rng, 1000)) < 1000.0 * rate * TICK;
+                if asks && f64::from(tick) * TICK < ASKING {
+                    ids += 1;
+                    let class = [0, 0, 1, 2, 3][draw(&mut self.rng, 5) as usize];
+                    let c = &self.s.classes[class];
+                    let request = Request {
+                        id: RequestId(ids),
+                        class: ClassId(class),
+                        tenant: None,
+                        key: None,
+                        deadline: now + c.deadline,
+                        estimate: Some(self.work[class]),
+                        need_mb: Some(500.0),
+                        group: None,
+                        retry: false,
+                    };
+                    let asked = Asked { class, deadline: request.deadline, sends: vec![], answered: false };
+                    self.nodes[n].asked.insert(ids, asked);
+                    self.tell(n, now, &Event::Arrived(request));
+                }
+            }
+        }
+    }
+
+    /// What all gateways together have sent each cold engine, against what the rule lets through.
+    fn check_cold(&self) {
+        let (r, cores) = (&self.s.rules, self.s.kinds[0].cores);
+        let heaviest = self.work.iter().copied().fold(0.0, f64::max);
+        for (engine, sends) in &self.cold {
+            let started = self.engines[engine].started.unwrap();
+            for (from, _) in sends {
+                let window = |at: f64| (*from..from + r.overload_for).contains(&at);
+                let sent: f64 = sends.iter().filter(|(at, _)| window(*at)).map(|(_, work)| work).sum();
+                let warmth =
+                    r.cold_share + (1.0 - r.cold_share) * ((from - started) / r.warm_up).clamp(0.0, 1.0);
+                let most = r.fall_multiple * warmth * cores * 0.85 * r.overload_for;
+                assert!(
+                    warmth >= 1.0 || sent <= most + heaviest,
+                    "{sent} s of work of {most} to cold {engine}"
+                );
+            }
+        }
+    }
+
+    fn check_ends(&self) {
+        for node in &self.nodes {
+            assert!(node.asked.values().all(|a| a.answered), "a request got no final answer");
+        }
+        let asked = |class: usize| {
+            self.nodes.iter().flat_map(|n| n.asked.values()).filter(|a| a.class == class).count()
+        };
+        for class in 0..self.s.classes.len() {
+            let zones = &self.s.classes[class].only_zones;
+            let has = |e: &EngineEntry| zones.as_ref().is_none_or(|z| z.contains(&e.zone));
+            if self.engines.values().any(has) && asked(class) > 20 {
+                assert!(
+                    self.sent[class] > 0,
+                    "class {class} was asked {} times and never sent",
+                    asked(class)
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn fleets_of_any_size_keep_the_rules_and_starve_no_class() {
+    // Gateways, engines, zones, and requests a second at each gateway.
+    let sizes = [
+        (1, 1, 1, 4.0),
+        (1, 500, 3, 8.0),
+        (3, 7, 2, 6.0),
+        (12, 40, 4, 3.0),
+        (60, 16, 2, 0.8),
+        (150, 60, 5, 0.6),
+        (400, 80, 3, 0.3),
+    ];
+    for (n, (gateways, engines, zones, rate)) in sizes.into_iter().enumerate() {
+        for seed in 0..if gateways > 20 { 1 } else { 4 } {
+            let mut fleet = Fleet::new(gateways, engines, zones, 100 * n as u64 + seed);
+            fleet.run(rate);
+            fleet.check_cold();
+            fleet.check_ends();
+        }
+    }
+}
