Run a MySQL statement nowhere else once its connection broke; bound list events by memory

Read from the code: resume ended a MySQL attempt whose connection broke after its statement was written as broken, behind which the core let the module send a lookup or report again. A statement may outlive its connection, and the protocol has no way to ask for it over another, so that was a second copy beside one that may run. It now counts as lost: refused with w=50 where repeating is harmless, else failed, as over HTTP. The stand-in's engine with its connections cut and its work going on shows it: 2 copies before, 1 now; the test fails with the change taken out.

Events of the list had a cap of 4 MB of their own, which a gateway of 48 MB could not hold once parsed. The cap is a sixteenth of the configured memory, and never less than 1,024 engines need; a test reads 1,024 engines with no memory to speak of, 8,192 with 64 MB, and refuses these with 1 MB. A whole list looked each engine up in a vector: 1,024 times 1,024.

--- a/gateway/src/coordinator.rs
+++ b/gateway/src/coordinator.rs
@@ -4,8 +4,12 @@
 
 use crate::config::{ListEvent, list_event_text};
 
-/// An event of hundreds of engines is shorter than this.
-const MAX_EVENT: usize = 4 << 20;
+/// Bytes in which an engine is told of, at most; read, it takes some times as much.
+const ENGINE_BYTES: usize = 512;
+/// Engines in one event that there is always room for.
+const LEAST_ENGINES: usize = 1024;
+/// Share of the memory that the text of an event may take.
+const SHARE: usize = 16;
 
 /// Writes the call that opens the stream behind event `last`.
 pub fn open(last: u64, out: &mut Vec<u8>) {
@@ -27,8 +31,9 @@
 }
 
 /// What has been read of one stream.
-#[derive(Default)]
 pub struct Stream {
+    /// Bytes of an event at most.
+    most: usize,
     started: bool,
     chunked: bool,
     /// Bytes of the chunk that is being read.
@@ -37,12 +42,18 @@
 }
 
 impl Stream {
+    /// A stream to a gateway that may use so many bytes of memory.
+    pub fn new(memory: usize) -> Self {
+        let most = (memory / SHARE).max(LEAST_ENGINES * ENGINE_BYTES);
+        Self { most, started: false, chunked: false, chunk: 0, body: Vec::new() }
+    }
+
     /// Takes what has come and adds the events that are whole to `events`, also those before an error.
     pub fn read(&mut self, input: &mut Vec<u8>, events: &mut Vec<ListEvent>) -> Result<(), StreamError> {
         if !self.started && !self.head(input)? {
             return Ok(());
         }
-        if self.body.len() + input.len() > MAX_EVENT {
+        if self.body.len() + input.len() > self.most {
             return Err(StreamError::NoStream);
         }
         if self.chunked {
@@ -138,7 +149,7 @@
         \"address\":\"127.0.0.1:80\",\"zone\":\"z\",\"type\":\"k\",\"group\":2,\"status\":\"Terminating\",\"since_ms\":0}]}}";
 
     fn read_in_pieces(text: &str, size: usize) -> Vec<ListEvent> {
-        let mut stream = Stream::default();
+        let mut stream = Stream::new(0);
         let (mut input, mut events) = (Vec::new(), Vec::new());
         for piece in text.as_bytes().chunks(size) {
             input.extend(piece);
@@ -172,14 +183,39 @@
         let mut input =
             format!("HTTP/1.1 200 OK\r\n\r\nid: 41\ndata: {EVENT}\n\nid: 42\ndata: {{\n\n").into_bytes();
         let mut events = Vec::new();
-        let end = Stream::default().read(&mut input, &mut events);
+        let end = Stream::new(0).read(&mut input, &mut events);
         assert!(matches!(end, Err(StreamError::BadEvent(42, _))));
         assert_eq!(events.iter().map(|e| e.index).collect::<Vec<_>>(), [41]);
     }
 
+    #[test]
+    fn events_of_a_thousand_engines_are_read_and_endless_ones_are_not() {
+        let name = "s-".to_owned() + &"0".repeat(60);
+        let entry = |n: usize| {
+            format!(
+                "{{\"name\":\"{name}{n}\",\"address\":\"10.111.222.33:10080\",\"zone\":\"a-zone-of-some-length\",\
+                \"type\":\"k\",\"group\":2,\"status\":\"Ready\",\"weight\":4,\"since_ms\":1790000000000}}"
+            )
+        };
+        let read = |engines: usize, memory: usize| {
+            let list = (0..engines).map(entry).collect::<Vec<_>>().join(",");
+            let mut input = format!(
+                "HTTP/1.1 200 OK\r\n\r\nid: 41\ndata: {{\"index\":41,\"endpoints\":{{\"snapshot\":true,\"endpoints\":[{list}]}}}}\n\n"
+            )
+            .into_bytes();
+            let mut events = Vec::new();
+            Stream::new(memory)
+                .read(&mut input, &mut events)
+                .map(|()| events.iter().map(|e| e.entries.len()).sum())
+        };
+        assert_eq!(read(1024, 0).ok(), Some(1024), "however little memory there is");
+        assert_eq!(read(8192, 64 << 20).ok(), Some(8192));
+        assert!(matches!(read(8192, 1 << 20), Err(StreamError::NoStream)));
+    }
+
     #[test]
     fn what_is_no_stream_is_told() {
         let mut input = b"HTTP/1.1 404 no\r\n\r\n".to_vec();
-        assert!(matches!(Stream::default().read(&mut input, &mut Vec::new()), Err(StreamError::NoStream)));
+        assert!(matches!(Stream::new(0).read(&mut input, &mut Vec::new()), Err(StreamError::NoStream)));
     }
 }
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -148,7 +148,7 @@
         let mut entries = Vec::with_capacity(event.entries.len());
         let mut stale = Vec::new();
         if event.full {
-            let named: Vec<EngineId> =
+            let named: BTreeSet<EngineId> =
                 event.entries.iter().filter_map(|l| self.pools.ids.get(&l.name).copied()).collect();
             for (id, e) in &mut self.pools.engines {
                 if !named.contains(id) {
@@ -799,7 +799,8 @@
             (Tongue::MySql, _) | (_, End::Refused | End::Late) if unsent => {
                 return self.end_attempt(id, Outcome::Unreachable, None);
             }
-            (Tongue::MySql, _) => return self.end_attempt(id, Outcome::Broken, None),
+            // That protocol has no way to ask for it again, and a statement may outlive its connection.
+            (Tongue::MySql, _) => return self.unheard(id),
             (_, End::Refused | End::Late) if again => return self.unheard(id),
             _ if attempt.retries >= MOST_RETRIES && unsent => {
                 return self.end_attempt(id, Outcome::Unreachable, None);
--- a/gateway/src/net/feed.rs
+++ b/gateway/src/net/feed.rs
@@ -60,7 +60,7 @@
         match Conn::connect(&self.poll, address, self.feed.key(), 1 << 20) {
             Ok(mut conn) => {
                 coordinator::open(self.feed.last, &mut conn.output);
-                self.feed.up = Some((conn, coordinator::Stream::default()));
+                self.feed.up = Some((conn, coordinator::Stream::new(self.config.memory)));
                 self.feed.heard_us = now_us;
                 self.counters.list_connects += 1;
             }
--- a/gateway/tests/fronts.rs
+++ b/gateway/tests/fronts.rs
@@ -542,6 +542,20 @@
     assert_eq!(seen.engines_of("00000000000000bb"), [alive.name.as_str()]);
 }
 
+/// A statement may outlive its connection, and MySQL has no way to ask for it over another.
+#[test]
+fn a_mysql_statement_whose_connection_breaks_is_run_nowhere_else() {
+    let seen = Seen::default();
+    let engines = ["e1", "e2"].map(|n| Engine::start(n, &seen, 10_000));
+    let gateway = Gateway::start(&[&engines[0], &engines[1]], true);
+    let mut client = mysql::Client::connect(gateway.mysql());
+    let (lookup, _) = client.prepare("/* c=lookup,h=20 */ SELECT v FROM a_1.b WHERE c = ?").unwrap();
+    let asker = thread::spawn(move || client.execute(lookup, &["1"], &[("i", ID)]));
+    engine_of(&seen, ID, &engines).cut();
+    assert!(mysql_refused(&asker.join().unwrap()), "its client may ask again");
+    assert_eq!(seen.engines_of(ID).len(), 1, "no second copy beside one that may run on");
+}
+
 /// Mixed traffic over both fronts; returns the latencies of lookups.
 fn traffic(gateway: &Gateway, fronts: &[&str], rounds: u32) -> Vec<Duration> {
     let mut workers = Vec::new();
