--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -353,3 +353,43 @@
         }
     }
 }
+
+/// Not a check: prints what an event costs while 20 reports are held, by the number of engines.
+/// `cargo test --release --test fleet -- --ignored --nocapture`
+#[test]
+#[ignore = "prints figures of this machine"]
+fn cost_of_an_event_by_engines() {
+    for engines in [16, 80, 400, 1024] {
+        let mut s = settings();
+        s.gateways = 300;
+        let template = Drive::new(s.clone(), vec![]);
+        let mut gateway = Gateway::new(s, 7).unwrap();
+        let entries = (0..engines).map(engine).collect();
+        gateway.on_event(100.0, &Event::List { mode: ListMode::Full, entries }, &mut Vec::new());
+        let mut now = 100.0;
+        let mut costs = Vec::new();
+        for id in 1..4000u64 {
+            now += 0.01;
+            let class = if id % 10 == 0 { REPORT } else { LOOKUP };
+            let request = Request { id: RequestId(id), deadline: now + 20.0, ..template.request(0, class) };
+            let mut actions = Vec::new();
+            let began = std::time::Instant::now();
+            gateway.on_event(now, &Event::Arrived(request), &mut actions);
+            if id % 5 == 0 {
+                gateway.on_event(now, &Event::Timer(0), &mut actions);
+            }
+            costs.push(began.elapsed().as_nanos() as f64 / 1000.0);
+            for (id, to) in sends(&actions).into_iter().filter(|(id, _)| id % 10 != 0) {
+                let (request, engine) = (RequestId(id), EngineId(to));
+                let (outcome, elapsed, settled) = (Outcome::Success, 0.1, true);
+                let (cost, report) = (None, None);
+                let ended =
+                    Event::Ended { request, attempt: 0, engine, outcome, elapsed, settled, cost, report };
+                gateway.on_event(now, &ended, &mut Vec::new());
+            }
+        }
+        costs.sort_by(f64::total_cmp);
+        let at = |share: f64| costs[(share * (costs.len() - 1) as f64) as usize];
+        println!("{engines} engines: p50 {:.1} us, p90 {:.1} us, p99 {:.1} us", at(0.5), at(0.9), at(0.99));
+    }
+}
