--- a/src/policy.rs
+++ b/src/policy.rs
@@ -121,16 +121,8 @@
         // Where no answer tells how full the engine is, that stands in for R, at the aim where the bar is;
         // where shares are thin and reports tell nothing, at the aim where it is full: few dashboards see it.
         let blind = !p.reported && self.unit(t) < 1.0;
-        let r = r.max(match t.stand_in {
-            true => t.objective * fullness / BAR,
-            false => {
-                if blind {
-                    t.objective * fullness
-                } else {
-                    0.0
-                }
-            }
-        });
+        let at_aim = if t.stand_in { BAR } else { 1.0 };
+        let r = if t.stand_in || blind { r.max(t.objective * fullness / at_aim) } else { r };
         (self.completed, self.latency_sum, self.opened) = (0, 0.0, now);
         if !heard {
             return;
@@ -552,8 +544,9 @@
             let mean = &mut self.classes[request.class.0].work;
             *mean += NEWEST * (work.min(HEAVY * *mean) - *mean);
         }
-        let key = self.key_of(request);
-        key.into_iter().for_each(|k| self.keys.entry(k).or_default().order.push_back(request.id));
+        if let Some(key) = self.key_of(request) {
+            self.keys.entry(key).or_default().order.push_back(request.id);
+        }
         // The end is planned at once, whatever becomes of attempts, lists and other timers.
         let delay = (request.deadline - self.s.resolution - now).max(0.0);
         actions.push(Action::SetTimer { delay, token: request.id.0 + 1, of: Some(request.id) });
@@ -604,8 +597,9 @@
         }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.held.remove(&job.place);
-        let line = self.key_of(&job.request).and_then(|k| self.keys.get_mut(&k));
-        line.into_iter().for_each(|line| line.order.retain(|r| *r != id));
+        if let Some(line) = self.key_of(&job.request).and_then(|k| self.keys.get_mut(&k)) {
+            line.order.retain(|r| *r != id);
+        }
     }
 
     fn ended(&mut self, now: f64, event: &Event, actions: &mut Vec<Action>) {
@@ -634,10 +628,11 @@
                 actions.push(Action::Fail(id));
                 return self.forget(id, actions);
             }
-            Some(first) => {
-                self.engines.get_mut(&first).into_iter().for_each(|e| e.health.strike(now, ERRED.1))
+            first => {
+                if let Some(e) = first.and_then(|first| self.engines.get_mut(&first)) {
+                    e.health.strike(now, ERRED.1);
+                }
             }
-            None => {}
         }
         if settled {
             self.forget(id, actions);
@@ -661,7 +656,9 @@
         a.heard = now;
         a.noted = if note == Note::Running { a.noted } else { now };
         // An engine that sends news is not silent, even where it answers this gateway nothing for long.
-        self.engines.get_mut(&a.engine).into_iter().for_each(|e| e.health.last_answer = now);
+        if let Some(e) = self.engines.get_mut(&a.engine) {
+            e.health.last_answer = now;
+        }
         let Note::Progress(share) = note else { return };
         let (engine, class, sent) = (a.engine, a.class, a.sent);
         let times = (now - sent) * f64::from(self.s.classes[class.0].threads) / (a.work * share);
@@ -681,9 +678,10 @@
             return;
         }
         job.withdrawn = true;
-        match hopeless {
-            true => self.give_up(which.0, None, actions),
-            false => actions.push(Action::Cancel { request: which.0, attempt: which.1 }),
+        if hopeless {
+            self.give_up(which.0, None, actions);
+        } else {
+            actions.push(Action::Cancel { request: which.0, attempt: which.1 });
         }
     }
 
@@ -867,7 +865,7 @@
     /// those of its class that need as much memory.
     fn release(&mut self, now: f64, actions: &mut Vec<Action>) {
         // By class: the engines that admit it till the next send, and the least need of memory that none has.
-        let mut admitting: Vec<Option<[Vec<EngineId>; 2]>> = vec![None; self.classes.len()];
+        let mut admitting: Vec<[Option<Vec<EngineId>>; 2]> = vec![[None, None]; self.classes.len()];
         let mut full = vec![f64::INFINITY; self.classes.len()];
         let held: Vec<RequestId> = self.held.values().copied().collect();
         for id in held {
@@ -876,30 +874,30 @@
             if need_mb >= full[class.0] {
                 continue;
             }
-            let open = admitting[class.0].take().unwrap_or_else(|| self.admitting(class, now));
             let (mut chosen, mut blocked) = (None, 0.0_f64);
-            for engines in open.iter().filter(|engines| !engines.is_empty()) {
-                let mut roomy = engines.clone();
+            for (cached, working) in admitting[class.0].iter_mut().zip([true, false]) {
+                let mut roomy = cached.get_or_insert_with(|| self.admitting(class, working, now)).clone();
+                let admitted = !roomy.is_empty();
                 roomy.retain(|e| self.has_memory(class, need_mb, &self.engines[e]));
-                blocked = blocked.max(if roomy.is_empty() { need_mb } else { f64::INFINITY });
-                chosen = chosen.or_else(|| self.choose(id, &roomy, now));
+                let least = if roomy.is_empty() { need_mb } else { f64::INFINITY };
+                blocked = blocked.max(if admitted { least } else { 0.0 });
+                chosen = self.choose(id, &roomy, now);
+                if chosen.is_some() {
+                    break;
+                }
             }
             full[class.0] = full[class.0].min(blocked);
             if let Some(engine) = chosen {
                 self.send(now, id, engine, actions);
-                admitting.fill(None);
-                continue;
+                admitting.fill([None, None]);
             }
-            admitting[class.0] = Some(open);
         }
     }
 
-    /// The engines that take a request of this class now: those worked with, and the others.
-    fn admitting(&self, class: ClassId, now: f64) -> [Vec<EngineId>; 2] {
-        [true, false].map(|working| {
-            let admits = |e: &Engine| e.working == working && self.admits(e, class, now);
-            self.engines.iter().filter(|(_, e)| admits(e)).map(|(id, _)| *id).collect()
-        })
+    /// The engines that take a request of this class now, of those worked with or of the others.
+    fn admitting(&self, class: ClassId, working: bool, now: f64) -> Vec<EngineId> {
+        let admits = |e: &Engine| e.working == working && self.admits(e, class, now);
+        self.engines.iter().filter(|(_, e)| admits(e)).map(|(id, _)| *id).collect()
     }
 
     /// Whether an engine takes a request of this class now: placement, health, cold start and, for secondary
@@ -1030,7 +1028,9 @@
         if job.attempts > 1 {
             self.extra.push_back(now);
         }
-        key.and_then(|k| self.keys.get_mut(&k)).into_iter().for_each(|line| line.out += 1);
+        if let Some(line) = key.and_then(|k| self.keys.get_mut(&k)) {
+            line.out += 1;
+        }
         let threads = f64::from(class.threads);
         e.threads += threads;
         let more = e.filled_by(1.0, threads, view.memory_mb);
