See who has left before turning a newcomer away for lack of places

Cause: a turn accepts before it reads sessions (net/mod.rs, run). Hang-ups that are ready in the same turn still hold their places then, have the grace of newcomers, and the one who knocks is turned away for them.

Change: where all places are taken, sessions are read before anybody is accepted.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -35,7 +35,7 @@
     pub(super) fn take_in(&mut self, stream: TcpStream, from: SocketAddr, front: Front) {
         let now_us = self.time.now_us;
         let mut is_away = false;
-        let full = self.sessions.table.len() >= self.sessions.most;
+        let full = self.sessions.is_full();
         let short = self.sessions.ledger.allows(Kind::Sessions, Sessions::bytes_of_one()).is_err();
         if full || short {
             match self.sessions.yields(now_us) {
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -196,7 +196,11 @@
                 }
             }
             self.ring();
-            // What came from engines may have ended requests: that goes out before anything new is read.
+            // What came from engines may have ended requests: that goes out before anything new is read. Where all
+            // places are taken, those who have left are seen before anybody is turned away for them.
+            if doors.contains(&true) && self.sessions.is_full() {
+                self.read_sessions();
+            }
             for (front, _) in [Front::Pg, Front::MySql].into_iter().zip(doors).filter(|(_, open)| *open) {
                 self.accept(front);
             }
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -291,6 +291,11 @@
         (self.secrets >> 32) as u32
     }
 
+    /// Whether whoever comes next needs another's place.
+    pub fn is_full(&self) -> bool {
+        self.table.len() >= self.most
+    }
+
     /// Whose place another may have.
     pub fn yields(&self, now_us: u64) -> Option<Handle> {
         self.table.yields(now_us, (self.most / 4).max(LEAST_CROWD))
