Give operators a door, figures by class and engines out by hand

With a door, the clients' address is shared by SO_REUSEPORT for now, so that a second process can start.

Found on the way: two calls in one turn, and the second saw figures from before the first; a ban is carried out before its answer is written now.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -288,6 +288,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub ops: Option<SocketAddr>,
     /// Seed for random numbers.
     pub seed: u64,
     /// Descriptors it may hold.
@@ -333,6 +335,11 @@
         config.listen =
             listen.parse().map_err(|_| ConfigError::Value { path: "LB_LISTEN".to_owned(), wanted })?;
     }
+    if let Some(ops) = std::env::var("LB_OPS").ok().filter(|ops| !ops.is_empty()) {
+        let wanted = "an address with a port";
+        let wrong = |_| ConfigError::Value { path: "LB_OPS".to_owned(), wanted };
+        config.ops = Some(ops.parse().map_err(wrong)?);
+    }
     if let Some(path) = operator {
         crate::operator::apply(path, &mut config)?;
     }
@@ -352,11 +359,12 @@
     let seed = root.get("seed").text()?;
     let allowed = env.get("allowed");
     let known = root.get("known");
-    let coordinator = root.get("coordinator");
+    let (coordinator, ops) = (root.get("coordinator"), root.get("ops"));
     Ok(Config {
         path: None,
         name: root.get("name").text_or_empty()?,
         listen: root.get("listen").address()?,
+        ops: if ops.is_there() { Some(ops.address()?) } else { None },
         seed: u64::from_str_radix(&seed, 16).map_err(|_| root.get("seed").wrong("16 hex digits"))?,
         sockets: root.get("limits").get("sockets").number_or(1024.0)? as usize,
         memory: (root.get("limits").get("memory_mb").number_or(192.0)? * f64::from(1 << 20)) as usize,
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -169,6 +169,11 @@
         self.open.len()
     }
 
+    /// Engines in the list that get nothing new: they drain, or pause for their health.
+    pub fn engines_avoided(&self, now_us: u64) -> usize {
+        self.module.engines_avoided(seconds(now_us))
+    }
+
     /// When the next turn is due although nothing comes in.
     pub fn next_alarm_us(&self) -> Option<u64> {
         self.alarms.next_us()
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -92,7 +92,9 @@
     let name = config.name.clone();
     let server = net::Server::new(config).map_err(|e| e.to_string())?;
     let (pg, mysql) = server.addresses();
-    tracing::info!(%name, listen = %pg.unwrap_or_else(|| "-".to_owned()), mysql = %mysql.unwrap_or_else(|| "-".to_owned()), "serving");
+    let ops = server.ops_address().map(|a| a.to_string());
+    let [listen, mysql, ops] = [pg, mysql, ops].map(|a| a.unwrap_or_else(|| "-".to_owned()));
+    tracing::info!(%name, %listen, %mysql, %ops, "serving");
     let counters = server.run().map_err(|e| e.to_string())?;
     tracing::info!(%counters, "ended");
     Ok(())
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -14,6 +14,7 @@
 use super::{Alarm, Request, Server};
 use crate::config::Names;
 use crate::core::{Ask, Command, Input};
+use crate::figures::Ending;
 use crate::front::{Answer, Demand, Payload, Want, fields};
 use crate::mysql::ResultSet;
 
@@ -352,6 +353,7 @@
         if going || full || short || late {
             // Nothing was sent: trying again, elsewhere for one that ends, is harmless.
             self.counters.refused += 1;
+            self.figures.ended(class, Ending::Refused);
             self.counters.too_late += u64::from(late);
             self.counters.no_memory += u64::from(short);
             let tells = self.config.settings.allowed.retry_after && (short || late);
@@ -459,12 +461,16 @@
         let Some(request) = self.requests.remove(id) else { return };
         self.sessions.ledger.book(Kind::Requests, request.bytes(), 0);
         tracing::debug!(ticket = request.ticket, now_us = self.time.now_us, how = answer.name(), "answered");
-        *match answer {
-            Answer::Served(Payload::MySql(ResultSet::Wrong(_))) => &mut self.counters.failed,
-            Answer::Served(_) => &mut self.counters.served,
-            Answer::Refused(_) => &mut self.counters.refused,
-            Answer::Failed(_) | Answer::Cancelled => &mut self.counters.failed,
-        } += 1;
+        let (counter, ending) = match answer {
+            Answer::Served(Payload::MySql(ResultSet::Wrong(_))) => {
+                (&mut self.counters.failed, Ending::Failed)
+            }
+            Answer::Served(_) => (&mut self.counters.served, Ending::Served),
+            Answer::Refused(_) => (&mut self.counters.refused, Ending::Refused),
+            Answer::Failed(_) | Answer::Cancelled => (&mut self.counters.failed, Ending::Failed),
+        };
+        *counter += 1;
+        self.figures.ended(request.class, ending);
         let who = request.client;
         let Some(live) = self.sessions.table.hot_mut(who) else { return };
         if live.open == Some(id) {
--- a/gateway/src/net/doors.rs
+++ b/gateway/src/net/doors.rs
@@ -52,7 +52,8 @@
     pub fn open(config: &Config, poll: &Poll) -> Result<Self, ServeError> {
         let backlog = config.clients.backlog;
         let listen = |address, front: Front| -> Result<TcpListener, ServeError> {
-            let listener = listener(address, backlog).map_err(|e| ServeError::Listen(address, e))?;
+            let shared = config.ops.is_some() && front == Front::Pg;
+            let listener = listener(address, backlog, shared).map_err(|e| ServeError::Listen(address, e))?;
             poll.add(&listener, front.key(), KNOCKS, Told::Always)?;
             Ok(listener)
         };
@@ -121,9 +122,11 @@
     }
 }
 
-fn listener(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+/// Listens. A shared address may be listened at by another process too.
+pub fn listener(address: SocketAddr, backlog: u32, shared: bool) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    socket.set_reuse_port(shared)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
@@ -190,7 +193,7 @@
     fn ends_that_vanish_without_a_word_are_asked_for_where_the_operator_wants_that() {
         let text = include_str!("../../tests/common/config.json").replace("LIST", "");
         let mut config = config::read(&Node::root(&text.parse().unwrap(), "config")).unwrap();
-        let listener = listener(([127, 0, 0, 1], 0).into(), 8).unwrap();
+        let listener = listener(([127, 0, 0, 1], 0).into(), 8, false).unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let socket = socket2::SockRef::from(&stream);
         keep_alive(&stream, &config).unwrap();
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -145,6 +145,12 @@
     /// Takes in an event of the list.
     pub(super) fn listed(&mut self, event: &ListEvent) {
         self.counters.list_events += 1;
+        let event = self.roster.apply(event);
+        self.take_list(&event);
+    }
+
+    /// Takes in news of engines as they count here: who is out by hand drains.
+    pub(super) fn take_list(&mut self, event: &ListEvent) {
         let mut entries = Vec::with_capacity(event.entries.len());
         let mut stale = Vec::new();
         if event.full {
@@ -507,12 +513,15 @@
                     return self.end_attempt(id, Outcome::Void, None);
                 }
                 self.counters.sent += 1;
-                let class = self.requests.open.get(&id.0).map(|r| r.class.0);
+                let class = self.requests.open.get(&id.0).map(|r| r.class);
+                if let Some(class) = class {
+                    self.figures.class(class).attempts += 1;
+                }
                 tracing::debug!(
                     ticket = attempt.ticket,
                     number = id.1,
                     engine = engine.0,
-                    class,
+                    class = class.map(|c| c.0),
                     now_us,
                     "sent"
                 );
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod doors;
 mod engines;
 mod feed;
+mod ops;
 mod pools;
 mod reload;
 mod requests;
@@ -31,7 +32,9 @@
 use crate::config::{Config, Names};
 use crate::core::{Command, Core, Input};
 use crate::counters::Counters;
+use crate::figures::Figures;
 use crate::lateness::Lateness;
+use crate::roster::Roster;
 use doors::{Doors, Front};
 use poll::{Interest, Poll, Told};
 use requests::{Request, Requests};
@@ -44,6 +47,8 @@
 const TERM: u64 = 2;
 const PRINT: u64 = 3;
 const RELOAD: u64 = 4;
+const OPS_LISTENER: u64 = 5;
+const OPS: u64 = 1 << 61;
 const SESSION: u64 = 1 << 62;
 const LINK: u64 = 2 << 62;
 const FEED: u64 = 3 << 62;
@@ -54,6 +59,11 @@
 /// Descriptors beside connections: listeners, poller, signals, standard streams, one being accepted, the spare.
 pub const OWN_DESCRIPTORS: usize = 32;
 
+/// Those, and where operators call, their door and who stands in it.
+fn own_descriptors(config: &Config) -> usize {
+    OWN_DESCRIPTORS + config.ops.map_or(0, |_| 1 + ops::MOST_CALLERS)
+}
+
 /// Why the gateway can't serve.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -84,6 +94,8 @@
     Reload(u32),
     /// Descriptors may be there again for new connections.
     Doors,
+    /// Who calls for operators may have been there for too long.
+    Callers,
     /// The time for taking new work is over.
     Going,
 }
@@ -111,6 +123,9 @@
     requests: Requests,
     pools: pools::Pools,
     feed: feed::Feed,
+    ops: ops::Ops,
+    roster: Roster,
+    figures: Figures,
     inputs: Vec<Input>,
 }
 
@@ -119,8 +134,10 @@
     pub fn new(mut config: Config) -> Result<Self, ServeError> {
         let poll = Poll::new()?;
         let doors = Doors::open(&config, &poll)?;
+        let ops = ops::Ops::open(config.ops, &poll)?;
         let (last, known) = std::mem::take(&mut config.known);
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let class_names: Vec<String> = config.names.classes.clone();
         let mut server = Self {
             core: Core::new(config.settings.clone(), config.seed)?,
             names: std::mem::take(&mut config.names),
@@ -139,6 +156,9 @@
             requests: Requests::default(),
             pools: pools::Pools::default(),
             feed: feed::Feed::new(last),
+            ops,
+            roster: Roster::new(config.memory),
+            figures: Figures::new(class_names.iter().map(String::as_str)),
             inputs: Vec::new(),
             config,
         };
@@ -147,6 +167,11 @@
         Ok(server)
     }
 
+    /// Where operators call.
+    pub fn ops_address(&self) -> Option<SocketAddr> {
+        self.ops.address()
+    }
+
     /// Where clients connect: PostgreSQL and MySQL.
     pub fn addresses(&self) -> (Option<String>, Option<String>) {
         (self.doors.address(Front::Pg), self.doors.address(Front::MySql))
@@ -176,6 +201,7 @@
                         drain(&term);
                         self.stop_taking();
                     }
+                    (OPS_LISTENER, _) => self.accept_callers(),
                     (PRINT, _) => {
                         drain(&print);
                         self.print();
@@ -192,6 +218,7 @@
                     }
                     (_, FEED) => self.feed_ready(key, interest),
                     (_, SESSION) => self.session_ready(key, interest),
+                    (key, _) if key & OPS != 0 => self.caller_ready(key),
                     _ => {}
                 }
             }
@@ -272,7 +299,10 @@
         }
         self.doors.close(&self.poll);
         // Attempts that were given up are still told so at their engines.
-        self.requests.open.is_empty() && self.inputs.is_empty() && !self.sessions.is_writing()
+        self.requests.open.is_empty()
+            && self.inputs.is_empty()
+            && !self.sessions.is_writing()
+            && !self.ops.is_answering()
     }
 
     fn ring(&mut self) {
@@ -287,6 +317,7 @@
                 Alarm::Feed => self.look_at_feed(),
                 Alarm::Reload(failures) => self.reload(failures),
                 Alarm::Doors => self.doors.resume(&self.poll),
+                Alarm::Callers => self.callers_late(),
                 Alarm::Going => {}
             }
         }
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -13,7 +13,7 @@
 
 use super::conn::{Conn, MOST_UNSENT, Phase};
 use super::doors::Front;
-use super::{OWN_DESCRIPTORS, SESSION};
+use super::{SESSION, own_descriptors};
 use crate::config::Config;
 use crate::front::{Answer, Want, mysql, pg};
 use crate::mysql::{MAX_PACKET, SqlError, put_packet};
@@ -238,7 +238,7 @@
 
 /// Connections that engines may have.
 pub fn most_engine_conns(config: &Config) -> usize {
-    config.sockets.saturating_sub(most_clients(config) + OWN_DESCRIPTORS)
+    config.sockets.saturating_sub(most_clients(config) + own_descriptors(config))
 }
 
 /// The group of an address.
--- /dev/null
+++ b/gateway/src/roster.rs
@@ -0,0 +1,195 @@
+//! The engines by name: who is in the list, who ever was, and who is out by hand.
+//!
+//! An engine out by hand is to all that decides one that drains. Nothing here knows a socket; events go through
+//! [`Roster::apply`] and come out as the rest of the gateway is to see them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use notchridge::interface::EngineState;
+
+use crate::config::{ListEvent, Listed};
+
+/// Names that are remembered at the least after their engines have gone.
+const LEAST_NAMES: usize = 4096;
+/// Bytes of the gateway's memory for which one more is.
+const BYTES_A_NAME: usize = 8192;
+
+/// No engine of this name was ever in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NeverListed;
+
+/// The engines by name.
+#[derive(Debug)]
+pub struct Roster {
+    listed: BTreeMap<String, Listed>,
+    ever: BTreeSet<String>,
+    order: VecDeque<String>,
+    most_names: usize,
+    out: BTreeSet<String>,
+    /// When an engine that was out came back, in Unix milliseconds: it has been restarted and is cold.
+    back_ms: BTreeMap<String, u64>,
+}
+
+impl Roster {
+    /// Empty, with as many names as so much memory allows.
+    pub fn new(memory: usize) -> Self {
+        Self {
+            listed: BTreeMap::new(),
+            ever: BTreeSet::new(),
+            order: VecDeque::new(),
+            most_names: LEAST_NAMES.max(memory / BYTES_A_NAME),
+            out: BTreeSet::new(),
+            back_ms: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in an event of the list, and tells it as it counts: who is out by hand drains, whatever the list
+    /// says, and who has come back started then at the earliest.
+    pub fn apply(&mut self, event: &ListEvent) -> ListEvent {
+        if event.full {
+            self.listed.clear();
+        }
+        for l in &event.entries {
+            self.remember(&l.name);
+            if l.state == EngineState::Gone {
+                self.listed.remove(&l.name);
+            } else {
+                self.listed.insert(l.name.clone(), l.clone());
+            }
+        }
+        let entries = event.entries.iter().map(|l| self.counts_as(l)).collect();
+        ListEvent { index: event.index, full: event.full, entries }
+    }
+
+    fn counts_as(&self, l: &Listed) -> Listed {
+        let state = match l.state {
+            EngineState::Ready if self.out.contains(&l.name) => EngineState::Draining,
+            state => state,
+        };
+        let since_ms = l.since_ms.max(self.back_ms.get(&l.name).copied().unwrap_or(0));
+        Listed { state, since_ms, ..l.clone() }
+    }
+
+    /// A name was listed. The oldest are forgotten, so that new ones all day take no memory for good; one that is
+    /// out by hand never is.
+    pub fn remember(&mut self, name: &str) {
+        if !self.ever.insert(name.to_owned()) {
+            return;
+        }
+        self.order.push_back(name.to_owned());
+        for _ in 0..self.order.len().saturating_sub(self.most_names) {
+            let Some(oldest) = self.order.pop_front() else { return };
+            if self.out.contains(&oldest) || self.listed.contains_key(&oldest) {
+                self.order.push_back(oldest);
+            } else {
+                self.ever.remove(&oldest);
+                self.back_ms.remove(&oldest);
+            }
+        }
+    }
+
+    /// Takes an engine out. The event, if any, says what has changed.
+    ///
+    /// # Errors
+    /// It was never listed.
+    pub fn enter(&mut self, name: &str) -> Result<Option<ListEvent>, NeverListed> {
+        if !self.ever.contains(name) {
+            return Err(NeverListed);
+        }
+        Ok(self.out.insert(name.to_owned()).then(|| self.change(name)).flatten())
+    }
+
+    /// Lets an engine serve again, cold from this Unix millisecond on.
+    ///
+    /// # Errors
+    /// It was never listed.
+    pub fn exit(&mut self, name: &str, now_ms: u64) -> Result<Option<ListEvent>, NeverListed> {
+        if !self.ever.contains(name) {
+            return Err(NeverListed);
+        }
+        if !self.out.remove(name) {
+            return Ok(None);
+        }
+        self.back_ms.insert(name.to_owned(), now_ms);
+        Ok(self.change(name))
+    }
+
+    fn change(&self, name: &str) -> Option<ListEvent> {
+        let entries = vec![self.counts_as(self.listed.get(name)?)];
+        Some(ListEvent { index: 0, full: false, entries })
+    }
+
+    /// How many engines are in the list.
+    pub fn known(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Who is out by hand.
+    pub fn out(&self) -> impl Iterator<Item = &str> {
+        self.out.iter().map(String::as_str)
+    }
+
+    /// All names that are remembered, and those that came back with when.
+    pub fn names(&self) -> impl Iterator<Item = (&str, u64)> {
+        self.ever.iter().map(|n| (n.as_str(), self.back_ms.get(n).copied().unwrap_or(0)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listed(name: &str, state: EngineState, since_ms: u64) -> Listed {
+        let address = ([127, 0, 0, 1], 1).into();
+        Listed { name: name.into(), address, zone: "z".into(), kind: "k".into(), cell: 0, state, since_ms }
+    }
+
+    fn event(full: bool, entries: &[(&str, EngineState, u64)]) -> ListEvent {
+        ListEvent { index: 1, full, entries: entries.iter().map(|(n, s, ms)| listed(n, *s, *ms)).collect() }
+    }
+
+    fn seen(event: Option<ListEvent>) -> Vec<(EngineState, u64)> {
+        event.into_iter().flat_map(|e| e.entries).map(|l| (l.state, l.since_ms)).collect()
+    }
+
+    use EngineState::{Draining, Gone, Ready};
+
+    #[test]
+    fn who_is_out_drains_whatever_the_list_says_until_one_call_back() {
+        let mut roster = Roster::new(1 << 20);
+        roster.apply(&event(true, &[("a", Ready, 0), ("b", Ready, 5)]));
+        assert_eq!(roster.enter("c"), Err(NeverListed));
+        assert_eq!(seen(roster.enter("a").unwrap()), [(Draining, 0)]);
+        assert_eq!(roster.enter("a").unwrap(), None, "again");
+        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 7)])))), [(Draining, 7)]);
+        assert_eq!(
+            seen(Some(roster.apply(&event(true, &[("a", Ready, 7), ("b", Ready, 5)])))),
+            [(Draining, 7), (Ready, 5)]
+        );
+        // It leaves, and comes back under its name.
+        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Gone, 7)])))), [(Gone, 7)]);
+        assert_eq!(roster.known(), 1);
+        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 9)])))), [(Draining, 9)]);
+        assert_eq!(seen(roster.exit("a", 100).unwrap()), [(Ready, 100)], "cold from now on");
+        assert_eq!(roster.exit("a", 200).unwrap(), None, "again");
+        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 9)])))), [(Ready, 100)], "cold still");
+        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 300)])))), [(Ready, 300)]);
+    }
+
+    #[test]
+    fn names_are_bounded_and_bans_are_not_forgotten() {
+        let mut roster = Roster::new(0);
+        let names: Vec<String> = (0..1100).map(|n| format!("banned-{n}")).collect();
+        for name in &names {
+            roster.remember(name);
+            assert!(roster.enter(name).is_ok());
+        }
+        for n in 0..10_000 {
+            roster.remember(&format!("later-{n}"));
+        }
+        assert!(names.iter().all(|n| roster.enter(n).is_ok()), "out of sight, still out");
+        assert_eq!(roster.out().count(), 1100);
+        assert!(roster.names().count() <= LEAST_NAMES);
+        assert!(roster.enter("later-1").is_err());
+    }
+}
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -383,6 +383,7 @@
     child: Child,
     pub pg: SocketAddr,
     pub mysql: Option<SocketAddr>,
+    pub ops: Option<SocketAddr>,
     folder: std::path::PathBuf,
     log: Arc<Mutex<String>>,
 }
@@ -414,6 +415,17 @@
         operator: &str,
         descriptors: Option<u32>,
     ) -> Self {
+        let folder = Self::folder(engines, mysql, coordinator, operator);
+        Self::launch(folder, ([127, 0, 0, 1], 0).into(), descriptors, false)
+    }
+
+    /// A folder with its configuration.
+    fn folder(
+        engines: &[&Engine],
+        mysql: bool,
+        coordinator: Option<SocketAddr>,
+        operator: &str,
+    ) -> std::path::PathBuf {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("wrenhatch-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -433,6 +445,20 @@
             }
         }
         std::fs::write(folder.join("operator.toml"), operator).unwrap();
+        folder
+    }
+
+    /// In front of these engines, with a door for operators.
+    pub fn start_with_door(engines: &[&Engine]) -> Self {
+        Self::launch(Self::folder(engines, false, None, ""), ([127, 0, 0, 1], 0).into(), None, true)
+    }
+
+    /// Starts another process that is to take this one's place.
+    pub fn successor(&self) -> Self {
+        Self::launch(self.folder.clone(), self.pg, None, true)
+    }
+
+    fn launch(folder: std::path::PathBuf, listen: SocketAddr, descriptors: Option<u32>, door: bool) -> Self {
         let program = env!("CARGO_BIN_EXE_wrenhatch");
         let mut command = match descriptors {
             None => Command::new(program),
@@ -443,7 +469,8 @@
             }
         };
         command.arg("serve").env("LB_CONFIG", folder.join("config.json")).env("LB_NAME", "t");
-        command.env("LB_LISTEN", "127.0.0.1:0").stderr(Stdio::piped()).stdout(Stdio::null());
+        command.env("TMPDIR", &folder).env("LB_OPS", if door { "127.0.0.1:0" } else { "" });
+        command.env("LB_LISTEN", listen.to_string()).stderr(Stdio::piped()).stdout(Stdio::null());
         command.arg("--config").arg(folder.join("operator.toml"));
         let mut child = command.spawn().unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
@@ -453,7 +480,7 @@
             let word = serving.split_whitespace().find_map(|w| w.strip_prefix(key)).unwrap();
             word.parse::<SocketAddr>().ok()
         };
-        let (pg, mysql) = (address("listen=").unwrap(), address("mysql="));
+        let (pg, mysql, ops) = (address("listen=").unwrap(), address("mysql="), address("ops="));
         let log = Arc::new(Mutex::new(String::new()));
         let kept = log.clone();
         thread::spawn(move || {
@@ -461,7 +488,26 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        Self { child, pg, mysql, folder, log }
+        Self { child, pg, mysql, ops, folder, log }
+    }
+
+    /// A call to the operators' door, with a method and a path; the answer's status and text.
+    pub fn call(&self, line: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.ops.unwrap()).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        stream.write_all(format!("{line} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        (head.split(' ').nth(1).unwrap().parse().unwrap(), body.to_owned())
+    }
+
+    /// A figure that operators see.
+    pub fn told(&self, name: &str) -> u64 {
+        let (status, text) = self.call("GET /status/metrics");
+        assert_eq!(status, 200);
+        let line = text.lines().find_map(|l| l.strip_prefix(&format!("edge_lb.{name}=")));
+        line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
     }
 
     /// Sends SIGTERM.
--- /dev/null
+++ b/gateway/tests/operation.rs
@@ -0,0 +1,126 @@
+//! What operators do: calls, figures, engines out by hand. The real program, real sockets, loopback only.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use common::{Engine, Gateway, Seen, pg};
+
+fn text(class: &str, number: u64) -> String {
+    format!("/* c={class},i={number:016x},d=2500,t=acme,h=20.0,mem=96 */ SELECT v FROM sales_17.orders")
+}
+
+/// Asks until this many are served; how many were refused and failed meanwhile.
+fn ask(client: &mut pg::Client, class: &str, from: u64, served: u64) -> (u64, u64) {
+    let (mut got, mut refused, mut failed) = (0, 0, 0);
+    for number in from.. {
+        match client.query(&text(class, number)) {
+            pg::Answer::Rows(_) => got += 1,
+            pg::Answer::Error(code, _) if code.starts_with("53") => refused += 1,
+            _ => failed += 1,
+        }
+        if got == served {
+            break;
+        }
+        assert!(refused + failed < 400, "hardly anything is served");
+    }
+    (refused, failed)
+}
+
+#[test]
+fn calls_are_answered_whoever_stands_in_the_door() {
+    let seen = Seen::default();
+    let engine = Engine::start("e1", &seen, 1);
+    let gateway = Gateway::start_with_door(&[&engine]);
+    // More than there are places, silent or with half a call, and staying.
+    let half: Vec<TcpStream> = (0..40)
+        .map(|n| {
+            let mut stream = TcpStream::connect(gateway.ops.unwrap()).unwrap();
+            stream.write_all(if n % 2 == 0 { b"GET /sta" } else { b"" }).unwrap();
+            stream
+        })
+        .collect();
+    for _ in 0..20 {
+        assert_eq!(gateway.call("GET /status").0, 200);
+    }
+    for (line, status) in [
+        ("GET /", 404),
+        ("GET /status/other", 404),
+        ("POST /status", 405),
+        ("GET /maintenance/enter/e1", 405),
+        ("PUT /maintenance/enter/", 404),
+        ("PUT /maintenance/enter/never-listed", 404),
+        ("PUT /maintenance/exit/never-listed", 404),
+        ("PUT /maintenance/exit/e1", 200),
+        ("\u{1}", 400),
+    ] {
+        assert_eq!(gateway.call(line).0, status, "{line}");
+    }
+    let mut client = pg::Client::connect(gateway.pg);
+    assert!(matches!(client.query(&text("lookup", 1)), pg::Answer::Rows(_)), "others are unhurt");
+    drop(half);
+    assert_eq!(gateway.end().0, Some(0));
+}
+
+#[test]
+fn no_door_is_opened_that_the_configuration_does_not_name() {
+    let engine = Engine::start("e1", &Seen::default(), 1);
+    let gateway = Gateway::start(&[&engine], false);
+    assert_eq!(gateway.ops, None);
+}
+
+#[test]
+fn figures_are_what_clients_and_engines_saw() {
+    let seen = Seen::default();
+    let engines = [Engine::start("e1", &seen, 2), Engine::start("e2", &seen, 2)];
+    let gateway = Gateway::start_with_door(&[&engines[0], &engines[1]]);
+    let mut client = pg::Client::connect(gateway.pg);
+    let lookups = ask(&mut client, "lookup", 1_000, 30);
+    let reports = ask(&mut client, "report", 5_000, 8);
+    // One that its client leaves, and one that is under way.
+    let mut waits = pg::Client::connect(gateway.pg);
+    engines.iter().for_each(|e| e.set_work_ms(60_000));
+    let seen_before = seen.count() as u64;
+    waits.send(&text("report", 9_000));
+    let began = Instant::now();
+    let attempts =
+        || ["lookup", "report", "load"].map(|c| gateway.told(&format!("attempts.{c}"))).iter().sum();
+    // The engine may read it a little after it was written.
+    while gateway.told("in_flight") != 1 || attempts() <= seen_before || attempts() != seen.count() as u64 {
+        assert!(began.elapsed() < Duration::from_secs(30), "under way, and counted as engines count it");
+    }
+    assert_eq!(gateway.told("served.lookup"), 30);
+    assert_eq!((gateway.told("refused.lookup"), gateway.told("failed.lookup")), lookups);
+    assert_eq!(gateway.told("served.report"), 8);
+    assert_eq!((gateway.told("refused.report"), gateway.told("failed.report")), reports);
+    assert_eq!(gateway.told("served.load"), 0);
+    assert_eq!((gateway.told("engines_known"), gateway.told("engines_excluded")), (2, 0));
+}
+
+#[test]
+fn an_engine_out_by_hand_gets_nothing_until_it_is_called_back() {
+    let seen = Seen::default();
+    let engines = [Engine::start("e1", &seen, 1), Engine::start("e2", &seen, 1)];
+    let gateway = Gateway::start_with_door(&[&engines[0], &engines[1]]);
+    let mut client = pg::Client::connect(gateway.pg);
+    let used = |from: u64| {
+        let by = |id: u64| seen.engines_of(&format!("{id:016x}"));
+        (from..from + 1000).flat_map(by).filter(|e| e == "e1").count()
+    };
+    ask(&mut client, "lookup", 1_000, 40);
+    assert!(used(1_000) > 0);
+    for _ in 0..2 {
+        assert_eq!(gateway.call("PUT /maintenance/enter/e1").0, 200);
+    }
+    assert_eq!((gateway.told("engines_known"), gateway.told("engines_excluded")), (2, 1));
+    for (class, from) in [("lookup", 2_000), ("report", 3_000), ("load", 4_000)] {
+        ask(&mut client, class, from, 10);
+        assert_eq!(used(from), 0, "{class}");
+    }
+    assert_eq!(gateway.call("PUT /maintenance/exit/e1").0, 200);
+    assert_eq!(gateway.told("engines_excluded"), 0);
+    ask(&mut client, "lookup", 5_000, 40);
+    assert!(used(5_000) > 0, "one call back is enough");
+}
--- a/src/policy/explain.rs
+++ b/src/policy/explain.rs
@@ -78,3 +78,15 @@
         write!(f, " times={:.2}/{:.2}", view.times.0, view.times.1)
     }
 }
+
+impl Gateway {
+    /// How many of the listed engines get nothing new: they drain, or pause after silence, errors or being full.
+    pub fn engines_avoided(&self, now: f64) -> usize {
+        let avoided = |e: &&Engine| match e.entry.state {
+            EngineState::Ready => now < e.health.out_until,
+            EngineState::Draining => true,
+            EngineState::Gone => false,
+        };
+        self.engines.values().filter(avoided).count()
+    }
+}
