--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -86,7 +86,7 @@
     waits.send(&text("report", 9_000));
     let began = Instant::now();
     let attempts =
-        || ["lookup", "report", "load"].map(|c| gateway.told(&format!("attempts.{c}"))).iter().sum();
+        || ["lookup", "report", "load"].map(|c| gateway.told(&format!("attempts.{c}"))).iter().sum::<u64>();
     // The engine may read it a little after it was written.
     while gateway.told("in_flight") != 1 || attempts() <= seen_before || attempts() != seen.count() as u64 {
         assert!(began.elapsed() < Duration::from_secs(30), "under way, and counted as engines count it");
