Hand the clients' listener, the list and the bans to the process that takes the place

The second process knew nothing of the first, which also left a listen queue of its own behind.

Change: the older process waits on a Unix socket under $TMPDIR; the newer one calls it before it opens anything, and gets its listeners (SCM_RIGHTS, by rustix, no unsafe code here), the list as it stands, the names ever listed and who is out. From then on both tell each other each call by hand. The older one accepts no more once the newer one takes clients, and again if that one ends first. handover.rs is the form, without sockets; net/handover.rs the connection. Whatever is foreign, cut, of another form or another gateway gets one message, and the process starts without it on a shared address.

Found on the way: a call in a new process's first turn saw an empty core; the known list goes into it before anybody is answered.

Two tests play upgrades under load with the real program (three in a row; three that die; a foreign caller), with all requests accounted for and who is out; three hold the form, cut at each byte.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -185,7 +185,7 @@
 /// Reads one event, `{"index":N,"endpoints":{"snapshot":..,"endpoints":[..]}}`.
 pub fn list_event(node: &Node<'_>) -> Result<ListEvent, ConfigError> {
     let body = node.get("endpoints");
-    let entries = body.get("endpoints").items()?.iter().map(listed).collect::<Result<_, _>>()?;
+    let entries = body.get("endpoints").items()?.iter().map(list_entry).collect::<Result<_, _>>()?;
     Ok(ListEvent { index: node.get("index").number()? as u64, full: body.get("snapshot").flag()?, entries })
 }
 
@@ -196,7 +196,8 @@
     list_event(&Node::root(&json, "event"))
 }
 
-fn listed(node: &Node<'_>) -> Result<Listed, ConfigError> {
+/// Reads an entry of the list.
+pub fn list_entry(node: &Node<'_>) -> Result<Listed, ConfigError> {
     let state = match node.get("status").text()?.as_str() {
         "Ready" => EngineState::Ready,
         "Terminating" => EngineState::Draining,
--- /dev/null
+++ b/gateway/src/handover.rs
@@ -0,0 +1,204 @@
+//! What two processes of one gateway tell each other while one takes the other's place: lines of JSON, without
+//! sockets. The first line names the form, the gateway and its address; the older process answers with all that the
+//! newer one must know, and from then on both tell what operators change.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use notchridge::interface::EngineState;
+use tinyjson::JsonValue;
+
+use crate::config::{Listed, Node, list_entry};
+
+/// The form of what is told. Another one is not understood.
+pub const FORM: u32 = 1;
+/// Bytes that one line may have.
+const LONGEST_LINE: usize = 8192;
+
+/// What is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// The newer process asks for the place, by its gateway's name and address.
+    Hello {
+        /// The gateway's name.
+        name: String,
+        /// Where its clients connect.
+        listen: SocketAddr,
+    },
+    /// An engine of this name was listed; when it last came back from being out, in Unix milliseconds, or 0.
+    Known(String, u64),
+    /// An engine of the list.
+    Listed(Listed),
+    /// An engine is out by hand.
+    Enter(String),
+    /// It may serve again since this Unix millisecond.
+    Exit(String, u64),
+    /// Nothing more belongs to the state.
+    End,
+    /// The newer process takes clients.
+    Taking,
+}
+
+/// Why what came is not understood.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum BadWord {
+    /// A line without an end.
+    #[error("a line does not end")]
+    Endless,
+    /// It is no JSON, or not what is said here.
+    #[error("what came is no word of a handover")]
+    Foreign,
+    /// It comes from a program that says things otherwise.
+    #[error("it speaks form {0}, not {FORM}")]
+    Form(u32),
+}
+
+impl Word {
+    /// Adds the word's line.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let text = |t: &str| JsonValue::String(t.to_owned());
+        // Exact up to 2^53 milliseconds.
+        let number = |n: u64| JsonValue::Number(n as f64);
+        let members: Vec<(&str, JsonValue)> = match self {
+            Word::Hello { name, listen } => vec![
+                ("hello", text(name)),
+                ("listen", text(&listen.to_string())),
+                ("form", number(u64::from(FORM))),
+            ],
+            Word::Known(name, back_ms) => vec![("known", text(name)), ("ms", number(*back_ms))],
+            Word::Listed(l) => {
+                let status = match l.state {
+                    EngineState::Ready => "Ready",
+                    EngineState::Draining => "Terminating",
+                    EngineState::Gone => "Gone",
+                };
+                let entry = [
+                    ("name", text(&l.name)),
+                    ("address", text(&l.address.to_string())),
+                    ("zone", text(&l.zone)),
+                    ("type", text(&l.kind)),
+                    ("group", number(l.cell)),
+                    ("status", text(status)),
+                    ("since_ms", number(l.since_ms)),
+                ];
+                let entry = entry.map(|(key, value)| (key.to_owned(), value));
+                vec![("listed", JsonValue::Object(HashMap::from(entry)))]
+            }
+            Word::Enter(name) => vec![("enter", text(name))],
+            Word::Exit(name, ms) => vec![("exit", text(name)), ("ms", number(*ms))],
+            Word::End => vec![("end", JsonValue::Boolean(true))],
+            Word::Taking => vec![("taking", JsonValue::Boolean(true))],
+        };
+        let object = members.into_iter().map(|(key, value)| (key.to_owned(), value)).collect();
+        if let Ok(line) = JsonValue::Object(object).stringify() {
+            out.extend(line.as_bytes());
+            out.push(b'\n');
+        }
+    }
+
+    fn parse(line: &[u8]) -> Result<Self, BadWord> {
+        let text = std::str::from_utf8(line).map_err(|_| BadWord::Foreign)?;
+        let json: JsonValue = text.parse().map_err(|_| BadWord::Foreign)?;
+        let root = Node::root(&json, "word");
+        let is = |key: &str| root.get(key).is_there();
+        let foreign = |_| BadWord::Foreign;
+        let name = |key: &str| root.get(key).text().map_err(foreign);
+        let ms = || root.get("ms").number().map(|n| n as u64).map_err(foreign);
+        match () {
+            () if is("hello") => {
+                let form = root.get("form").number().map_err(foreign)? as u32;
+                if form != FORM {
+                    return Err(BadWord::Form(form));
+                }
+                Ok(Word::Hello {
+                    name: name("hello")?,
+                    listen: root.get("listen").address().map_err(foreign)?,
+                })
+            }
+            () if is("known") => Ok(Word::Known(name("known")?, ms()?)),
+            () if is("listed") => Ok(Word::Listed(list_entry(&root.get("listed")).map_err(foreign)?)),
+            () if is("enter") => Ok(Word::Enter(name("enter")?)),
+            () if is("exit") => Ok(Word::Exit(name("exit")?, ms()?)),
+            () if is("end") => Ok(Word::End),
+            () if is("taking") => Ok(Word::Taking),
+            () => Err(BadWord::Foreign),
+        }
+    }
+}
+
+/// Takes the next whole word from what has come; `None` while there is none.
+///
+/// # Errors
+/// What came is not understood; nothing after it is.
+pub fn next(input: &mut Vec<u8>) -> Result<Option<Word>, BadWord> {
+    let Some(end) = input.iter().position(|b| *b == b'\n') else {
+        return if input.len() > LONGEST_LINE { Err(BadWord::Endless) } else { Ok(None) };
+    };
+    let word = Word::parse(&input[..end])?;
+    input.drain(..=end);
+    Ok(Some(word))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn words() -> Vec<Word> {
+        let listed = Listed {
+            name: "s-1".into(),
+            address: ([127, 0, 0, 2], 80).into(),
+            zone: "east".into(),
+            kind: "std".into(),
+            cell: 7,
+            state: EngineState::Draining,
+            since_ms: 1_796_166_000_123,
+        };
+        vec![
+            Word::Hello { name: "n0".into(), listen: ([127, 0, 0, 1], 5432).into() },
+            Word::Known("a \"b\"\n\u{e9}".into(), 0),
+            Word::Known("s-1".into(), 1_796_166_000_123),
+            Word::Listed(listed),
+            Word::Enter("s-1".into()),
+            Word::Exit("s-1".into(), 9),
+            Word::End,
+            Word::Taking,
+        ]
+    }
+
+    #[test]
+    fn words_come_as_they_went_however_they_are_cut() {
+        let mut bytes = Vec::new();
+        words().iter().for_each(|w| w.write(&mut bytes));
+        for cut in 0..bytes.len() {
+            let (mut input, mut got) = (bytes[..cut].to_vec(), Vec::new());
+            while let Some(word) = next(&mut input).unwrap() {
+                got.push(word);
+            }
+            assert_eq!(got, words()[..got.len()], "a part of what was told, in order");
+            input.extend(&bytes[cut..]);
+            while let Some(word) = next(&mut input).unwrap() {
+                got.push(word);
+            }
+            assert_eq!(got, words(), "{cut}");
+        }
+    }
+
+    #[test]
+    fn old_forms_and_foreign_words_are_not_understood() {
+        let read = |text: &str| next(&mut text.as_bytes().to_vec());
+        let old = "{\"hello\":\"n0\",\"listen\":\"127.0.0.1:1\",\"form\":0}\n";
+        assert_eq!(read(old), Err(BadWord::Form(0)));
+        for foreign in
+            ["\n", "{}\n", "GET / HTTP/1.1\r\n", "{\"enter\":7}\n", "{\"listed\":{\"name\":\"a\"}}\n"]
+        {
+            assert_eq!(read(foreign), Err(BadWord::Foreign), "{foreign}");
+        }
+        assert_eq!(read(&"a".repeat(LONGEST_LINE + 1)), Err(BadWord::Endless));
+    }
+
+    quickcheck::quickcheck! {
+        fn noise_is_never_a_word(noise: Vec<u8>) -> bool {
+            !matches!(next(&mut noise.clone()), Ok(Some(_)))
+        }
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod figures;
 pub mod front;
+pub mod handover;
 pub mod lateness;
 pub mod mysql;
 pub mod net;
--- a/gateway/src/net/doors.rs
+++ b/gateway/src/net/doors.rs
@@ -42,18 +42,25 @@
     spare: Option<File>,
     /// They are not listened at for the moment.
     shut: bool,
+    /// A newer process listens at them.
+    handed_over: bool,
 }
 
 const KNOCKS: Interest = Interest { read: true, write: false };
 const NOTHING: Interest = Interest { read: false, write: false };
 
 impl Doors {
-    /// Listens where the configuration says.
-    pub fn open(config: &Config, poll: &Poll) -> Result<Self, ServeError> {
+    /// Listens where the configuration says, with what an older process has left where it is that.
+    pub fn open(config: &Config, poll: &Poll, left: Vec<TcpListener>) -> Result<Self, ServeError> {
         let backlog = config.clients.backlog;
-        let listen = |address, front: Front| -> Result<TcpListener, ServeError> {
-            let shared = config.ops.is_some() && front == Front::Pg;
-            let listener = listener(address, backlog, shared).map_err(|e| ServeError::Listen(address, e))?;
+        let mut left = left;
+        let mut listen = |address, front: Front| -> Result<TcpListener, ServeError> {
+            let inherited = left.iter().position(|l| l.local_addr().is_ok_and(|a| a == address));
+            let listener = match inherited {
+                Some(at) => left.swap_remove(at),
+                None => listener(address, backlog, config.ops.is_some())
+                    .map_err(|e| ServeError::Listen(address, e))?,
+            };
             poll.add(&listener, front.key(), KNOCKS, Told::Always)?;
             Ok(listener)
         };
@@ -62,6 +69,7 @@
             mysql: config.mysql.as_ref().map(|m| listen(m.listen, Front::MySql)).transpose()?,
             spare: File::open("/dev/null").ok(),
             shut: false,
+            handed_over: false,
         })
     }
 
@@ -94,9 +102,31 @@
         }
     }
 
+    /// All listeners.
+    pub fn listeners(&self) -> impl Iterator<Item = &TcpListener> {
+        self.pg.iter().chain(&self.mysql)
+    }
+
+    /// Where PostgreSQL clients connect.
+    pub fn pg_address(&self) -> Option<SocketAddr> {
+        self.pg.as_ref()?.local_addr().ok()
+    }
+
+    /// A newer process accepts from the same queues: nobody is accepted here.
+    pub fn hand_over(&mut self, poll: &Poll) {
+        self.handed_over = true;
+        self.watch(poll, NOTHING);
+    }
+
+    /// The newer process has ended.
+    pub fn take_back(&mut self, poll: &Poll) {
+        self.handed_over = false;
+        self.resume(poll);
+    }
+
     /// Listens again.
     pub fn resume(&mut self, poll: &Poll) {
-        if self.shut {
+        if self.shut && !self.handed_over {
             self.watch(poll, KNOCKS);
         }
     }
--- /dev/null
+++ b/gateway/src/net/handover.rs
@@ -0,0 +1,371 @@
+//! The two processes of an upgrade: how the newer one finds the older, gets its listeners and what it knows, and how
+//! both go on as one gateway until the older has ended.
+
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::TcpListener;
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags,
+};
+
+use super::poll::{Interest, Poll, Told};
+use super::{HANDOVER, HANDOVER_LISTENER, Server};
+use crate::config::{Config, ListEvent};
+use crate::handover::{self, Word};
+
+/// The older process tells all it knows within this, or the newer one starts without.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Descriptors that come with the first byte at the most: one for each front.
+const MOST_LISTENERS: usize = 2;
+/// Bytes of a state that are taken in.
+const LONGEST_STATE: usize = 16 << 20;
+
+/// What an older process has told and handed over.
+pub struct Inheritance {
+    pub listeners: Vec<TcpListener>,
+    pub words: Vec<Word>,
+    stream: UnixStream,
+    rest: Vec<u8>,
+}
+
+/// Where the older process listens: under the folder that the platform gives this gateway alone. None without an
+/// operators' door, as nobody asks for an upgrade then.
+fn path(config: &Config) -> Option<PathBuf> {
+    config.ops?;
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+    let name: String = config.name.chars().filter(|c| c.is_ascii_alphanumeric() || *c == '-').collect();
+    Some(PathBuf::from(folder).join(format!("wrenhatch-{name}.sock")))
+}
+
+/// Asks the older process, if there is one, for its place.
+pub fn inherit(config: &Config) -> Option<Inheritance> {
+    let path = path(config)?;
+    // Nobody listens: this is no upgrade.
+    let stream = UnixStream::connect(path).ok()?;
+    match ask(config, stream) {
+        Ok(inheritance) => Some(inheritance),
+        Err(e) => {
+            tracing::error!("the older process's state is not taken over, starting without it: {e}");
+            None
+        }
+    }
+}
+
+fn bad(why: impl ToString) -> io::Error {
+    io::Error::new(ErrorKind::InvalidData, why.to_string())
+}
+
+fn ask(config: &Config, mut stream: UnixStream) -> io::Result<Inheritance> {
+    let began = Instant::now();
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    let mut hello = Vec::new();
+    Word::Hello { name: config.name.clone(), listen: config.listen }.write(&mut hello);
+    stream.write_all(&hello)?;
+    let (mut input, mut listeners, mut words) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut taken, mut chunk) = (0, [0; 16 * 1024]);
+    loop {
+        while let Some(word) = handover::next(&mut input).map_err(bad)? {
+            if word == Word::End {
+                return Ok(Inheritance { listeners, words, stream, rest: input });
+            }
+            words.push(word);
+        }
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let read = rustix::net::recvmsg(
+            &stream,
+            &mut [IoSliceMut::new(&mut chunk)],
+            &mut control,
+            RecvFlags::CMSG_CLOEXEC,
+        )?;
+        for message in control.drain() {
+            if let RecvAncillaryMessage::ScmRights(fds) = message {
+                listeners.extend(fds.filter_map(listener));
+            }
+        }
+        taken += read.bytes;
+        if read.bytes == 0 || taken > LONGEST_STATE || began.elapsed() > PATIENCE {
+            return Err(bad("it was cut off, or does not end"));
+        }
+        input.extend(&chunk[..read.bytes]);
+    }
+}
+
+/// What came as a listener, if it is one.
+fn listener(fd: OwnedFd) -> Option<TcpListener> {
+    let socket = socket2::Socket::from(fd);
+    let listens = socket.is_listener().unwrap_or(false) && socket.set_nonblocking(true).is_ok();
+    listens.then(|| socket.into())
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Role {
+    /// It is the older process.
+    Elder,
+    /// It has connected and not said what it wants.
+    Caller,
+    /// It knows all, and does not take clients yet.
+    Heir,
+    /// It takes clients.
+    Taker,
+}
+
+struct Peer {
+    stream: UnixStream,
+    serial: u32,
+    role: Role,
+    input: Vec<u8>,
+    output: Vec<u8>,
+}
+
+/// The other processes of this gateway.
+#[derive(Default)]
+pub struct Family {
+    path: Option<PathBuf>,
+    listener: Option<UnixListener>,
+    peers: Vec<Peer>,
+    serials: u32,
+}
+
+impl Family {
+    /// Listens for the next process, in place of whoever did before.
+    fn listen(&mut self, poll: &Poll) {
+        let Some(path) = &self.path else { return };
+        let opened = || -> io::Result<UnixListener> {
+            let new = path.with_extension(format!("{}", std::process::id()));
+            let _ = std::fs::remove_file(&new);
+            let listener = UnixListener::bind(&new)?;
+            listener.set_nonblocking(true)?;
+            std::fs::rename(&new, path)?;
+            Ok(listener)
+        };
+        match opened() {
+            Ok(listener) => {
+                if let Some(old) = self.listener.take() {
+                    poll.remove(&old);
+                }
+                if let Err(e) = poll.add(&listener, HANDOVER_LISTENER, READS, Told::Always) {
+                    return tracing::warn!("a later process will not find this one: {e}");
+                }
+                self.listener = Some(listener);
+            }
+            Err(e) => tracing::warn!("a later process will not find this one: {}: {e}", path.display()),
+        }
+    }
+
+    fn join(&mut self, poll: &Poll, stream: UnixStream, role: Role, input: Vec<u8>) -> io::Result<()> {
+        stream.set_nonblocking(true)?;
+        self.serials = self.serials.wrapping_add(1);
+        poll.add(&stream, HANDOVER | u64::from(self.serials), READS, Told::Always)?;
+        self.peers.push(Peer { stream, serial: self.serials, role, input, output: Vec::new() });
+        Ok(())
+    }
+
+    fn at(&self, key: u64) -> Option<usize> {
+        self.peers.iter().position(|p| HANDOVER | u64::from(p.serial) == key)
+    }
+
+    /// Whether a newer process takes the clients.
+    fn is_followed(&self) -> bool {
+        self.peers.iter().any(|p| p.role == Role::Taker)
+    }
+
+    fn flush(&mut self, poll: &Poll, at: usize) -> io::Result<()> {
+        let peer = &mut self.peers[at];
+        while !peer.output.is_empty() {
+            match peer.stream.write(&peer.output) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => drop(peer.output.drain(..n)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        let interest = Interest { read: true, write: !peer.output.is_empty() };
+        poll.change(&peer.stream, HANDOVER | u64::from(peer.serial), interest, Told::Always)
+    }
+}
+
+const READS: Interest = Interest { read: true, write: false };
+/// Processes that may be connected at once; there is one, or two where the platform stumbles.
+const MOST_PEERS: usize = 4;
+
+impl Server {
+    /// Takes in what the older process knew. The list of engines as it stood there is newer than the
+    /// configuration's.
+    pub(super) fn take_over(&mut self, words: Vec<Word>) {
+        let mut entries = Vec::new();
+        for word in words {
+            match word {
+                Word::Known(name, back_ms) => self.roster.restore(&name, back_ms),
+                Word::Listed(listed) => entries.push(listed),
+                Word::Enter(name) => {
+                    self.roster.remember(&name);
+                    // Its entry in the list comes behind, and is seen as it counts then.
+                    let _ = self.roster.enter(&name);
+                }
+                _ => {}
+            }
+        }
+        tracing::info!(
+            engines = entries.len(),
+            out = self.roster.out().count(),
+            "taken over from the older process"
+        );
+        if !entries.is_empty() {
+            self.listed(&ListEvent { index: 0, full: true, entries });
+        }
+    }
+
+    /// This process serves from here on: says so to the older one, and listens for the next.
+    pub(super) fn found_family(&mut self, elder: Option<(UnixStream, Vec<u8>)>) {
+        self.family.path = path(&self.config);
+        if let Some((stream, rest)) = elder {
+            match self.family.join(&self.poll, stream, Role::Elder, rest) {
+                Ok(()) => {
+                    Word::Taking.write(&mut self.family.peers[0].output);
+                    self.peer_ready(HANDOVER | u64::from(self.family.serials));
+                }
+                Err(e) => tracing::warn!("the older process is not told: {e}"),
+            }
+        }
+        self.family.listen(&self.poll);
+    }
+
+    pub(super) fn accept_peers(&mut self) {
+        while let Some(Ok((stream, _))) = self.family.listener.as_ref().map(UnixListener::accept) {
+            if self.family.peers.len() >= MOST_PEERS {
+                continue;
+            }
+            if let Err(e) = self.family.join(&self.poll, stream, Role::Caller, Vec::new()) {
+                tracing::warn!("a newer process: {e}");
+            }
+        }
+    }
+
+    pub(super) fn peer_ready(&mut self, key: u64) {
+        let Some(at) = self.family.at(key) else { return };
+        let mut chunk = [0; 4096];
+        let peer = &mut self.family.peers[at];
+        // What is left comes with the next turn.
+        let mut over = match peer.stream.read(&mut chunk) {
+            Ok(0) => true,
+            Ok(n) => {
+                peer.input.extend(&chunk[..n]);
+                false
+            }
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        };
+        loop {
+            match handover::next(&mut self.family.peers[at].input) {
+                Ok(Some(word)) => over |= !self.peer_says(at, word),
+                Ok(None) => break,
+                Err(e) => {
+                    tracing::error!("another process is not understood: {e}");
+                    over = true;
+                    break;
+                }
+            }
+        }
+        if over || self.family.flush(&self.poll, at).is_err() {
+            self.peer_gone(at);
+        }
+    }
+
+    /// False where the connection is of no more use.
+    fn peer_says(&mut self, at: usize, word: Word) -> bool {
+        match (self.family.peers[at].role, word) {
+            (Role::Caller, Word::Hello { name, listen }) => {
+                if name != self.config.name || listen.port() != 0 && Some(listen) != self.doors.pg_address() {
+                    tracing::error!(%name, %listen, "a process of another gateway asks for this one's place");
+                    return false;
+                }
+                self.bequeath(at)
+            }
+            (Role::Heir, Word::Taking) => {
+                tracing::info!("a newer process takes the clients");
+                self.family.peers[at].role = Role::Taker;
+                self.doors.hand_over(&self.poll);
+                true
+            }
+            (Role::Elder | Role::Heir | Role::Taker, Word::Enter(name)) => {
+                self.roster.remember(&name);
+                self.change_by_hand(&name, None).is_ok()
+            }
+            (Role::Elder | Role::Heir | Role::Taker, Word::Exit(name, ms)) => {
+                self.roster.remember(&name);
+                self.change_by_hand(&name, Some(ms)).is_ok()
+            }
+            _ => {
+                tracing::error!("another process says what it has no place to say");
+                false
+            }
+        }
+    }
+
+    /// Tells a newer process all that it must know, with the listeners beside the first byte.
+    fn bequeath(&mut self, at: usize) -> bool {
+        let mut out = Vec::new();
+        self.roster.names().for_each(|(name, ms)| Word::Known(name.to_owned(), ms).write(&mut out));
+        self.roster.listed().for_each(|l| Word::Listed(l.clone()).write(&mut out));
+        self.roster.out().for_each(|name| Word::Enter(name.to_owned()).write(&mut out));
+        Word::End.write(&mut out);
+        let peer = &mut self.family.peers[at];
+        let fds: Vec<_> = self.doors.listeners().map(AsFd::as_fd).collect();
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        let sent = control.push(SendAncillaryMessage::ScmRights(&fds)).then(|| {
+            rustix::net::sendmsg(&peer.stream, &[IoSlice::new(&out)], &mut control, SendFlags::NOSIGNAL)
+        });
+        match sent {
+            Some(Ok(n)) => {
+                peer.output = out.split_off(n);
+                peer.role = Role::Heir;
+                true
+            }
+            failed => {
+                tracing::error!(?failed, "a newer process can't be told");
+                false
+            }
+        }
+    }
+
+    fn peer_gone(&mut self, at: usize) {
+        let peer = self.family.peers.remove(at);
+        self.poll.remove(&peer.stream);
+        // Whoever was to take this one's place has ended first: all is as it was.
+        if peer.role != Role::Elder && self.time.stopping_since.is_none() && !self.family.is_followed() {
+            if peer.role == Role::Taker {
+                tracing::warn!("the newer process has ended: taking clients again");
+                self.doors.take_back(&self.poll);
+            }
+            self.family.listen(&self.poll);
+        }
+    }
+
+    /// Tells all other processes of this gateway.
+    pub(super) fn tell_family(&mut self, word: &Word) {
+        for at in (0..self.family.peers.len()).rev() {
+            if self.family.peers[at].role != Role::Caller {
+                word.write(&mut self.family.peers[at].output);
+                if self.family.flush(&self.poll, at).is_err() {
+                    self.peer_gone(at);
+                }
+            }
+        }
+    }
+}
+
+impl Inheritance {
+    /// The connection, for as long as both live.
+    pub fn into_stream(self) -> (UnixStream, Vec<u8>) {
+        (self.stream, self.rest)
+    }
+}
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod doors;
 mod engines;
 mod feed;
+mod handover;
 mod ops;
 mod pools;
 mod reload;
@@ -49,6 +50,8 @@
 const RELOAD: u64 = 4;
 const OPS_LISTENER: u64 = 5;
 const OPS: u64 = 1 << 61;
+const HANDOVER_LISTENER: u64 = 6;
+const HANDOVER: u64 = 1 << 60;
 const SESSION: u64 = 1 << 62;
 const LINK: u64 = 2 << 62;
 const FEED: u64 = 3 << 62;
@@ -124,6 +127,7 @@
     pools: pools::Pools,
     feed: feed::Feed,
     ops: ops::Ops,
+    family: handover::Family,
     roster: Roster,
     figures: Figures,
     inputs: Vec<Input>,
@@ -133,7 +137,9 @@
     /// Listens and takes in the list of engines known so far.
     pub fn new(mut config: Config) -> Result<Self, ServeError> {
         let poll = Poll::new()?;
-        let doors = Doors::open(&config, &poll)?;
+        let mut inheritance = handover::inherit(&config);
+        let left = inheritance.as_mut().map(|i| std::mem::take(&mut i.listeners)).unwrap_or_default();
+        let doors = Doors::open(&config, &poll, left)?;
         let ops = ops::Ops::open(config.ops, &poll)?;
         let (last, known) = std::mem::take(&mut config.known);
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
@@ -157,6 +163,7 @@
             pools: pools::Pools::default(),
             feed: feed::Feed::new(last),
             ops,
+            family: handover::Family::default(),
             roster: Roster::new(config.memory),
             figures: Figures::new(class_names.iter().map(String::as_str)),
             inputs: Vec::new(),
@@ -164,6 +171,13 @@
         };
         server.timers.arm(0, Alarm::Feed);
         known.iter().for_each(|event| server.listed(event));
+        let elder = inheritance.map(|mut i| {
+            server.take_over(std::mem::take(&mut i.words));
+            i.into_stream()
+        });
+        // Whoever calls first finds the core with all that is known.
+        server.turn();
+        server.found_family(elder);
         Ok(server)
     }
 
@@ -202,6 +216,7 @@
                         self.stop_taking();
                     }
                     (OPS_LISTENER, _) => self.accept_callers(),
+                    (HANDOVER_LISTENER, _) => self.accept_peers(),
                     (PRINT, _) => {
                         drain(&print);
                         self.print();
@@ -219,6 +234,7 @@
                     (_, FEED) => self.feed_ready(key, interest),
                     (_, SESSION) => self.session_ready(key, interest),
                     (key, _) if key & OPS != 0 => self.caller_ready(key),
+                    (key, _) if key & HANDOVER != 0 => self.peer_ready(key),
                     _ => {}
                 }
             }
--- a/gateway/src/net/ops.rs
+++ b/gateway/src/net/ops.rs
@@ -9,8 +9,8 @@
 use super::conn::{Conn, Phase, ReadEnd};
 use super::poll::{Interest, Poll, Told};
 use super::{Alarm, OPS, OPS_LISTENER, ServeError, Server};
-use crate::config::ListEvent;
 use crate::figures::Now;
+use crate::handover::Word;
 use crate::ops::{self, Call, No};
 use crate::roster::NeverListed;
 
@@ -148,16 +148,26 @@
     }
 
     /// Takes an engine out, or lets it serve again.
-    pub(super) fn by_hand(&mut self, name: &str, out: bool) -> Result<String, NeverListed> {
+    fn by_hand(&mut self, name: &str, out: bool) -> Result<String, NeverListed> {
         let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        let changed: Option<ListEvent> =
-            if out { self.roster.enter(name)? } else { self.roster.exit(name, now_ms)? };
-        tracing::info!(engine = name, out, changed = changed.is_some(), "by hand");
+        self.change_by_hand(name, (!out).then_some(now_ms))?;
+        let word = if out { Word::Enter(name.to_owned()) } else { Word::Exit(name.to_owned(), now_ms) };
+        self.tell_family(&word);
+        Ok(format!("{name} {}\n", if out { "is out" } else { "may serve" }))
+    }
+
+    /// The same without a word to other processes: one is back since a Unix millisecond, or else out.
+    pub(super) fn change_by_hand(&mut self, name: &str, back_ms: Option<u64>) -> Result<(), NeverListed> {
+        let changed = match back_ms {
+            None => self.roster.enter(name)?,
+            Some(ms) => self.roster.exit(name, ms)?,
+        };
+        tracing::info!(engine = name, out = back_ms.is_none(), changed = changed.is_some(), "by hand");
         if let Some(event) = changed {
             self.take_list(&event);
             // Before the answer goes out: what was gathered in this turn must not be sent there behind it.
             self.turn();
         }
-        Ok(format!("{name} {}\n", if out { "is out" } else { "may serve" }))
+        Ok(())
     }
 }
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// A name that another process of this gateway remembers, and when its engine came back.
+    pub fn restore(&mut self, name: &str, back_ms: u64) {
+        self.remember(name);
+        if back_ms > 0 {
+            self.back_ms.insert(name.to_owned(), back_ms);
+        }
+    }
+
     /// Takes an engine out. The event, if any, says what has changed.
     ///
     /// # Errors
@@ -124,6 +132,11 @@
         self.listed.len()
     }
 
+    /// The engines in the list, as it has them.
+    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
+        self.listed.values()
+    }
+
     /// Who is out by hand.
     pub fn out(&self) -> impl Iterator<Item = &str> {
         self.out.iter().map(String::as_str)
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -378,13 +378,30 @@
     first(host)
 }
 
+/// A folder that goes with the last process that has it.
+struct Folder(std::path::PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+impl std::ops::Deref for Folder {
+    type Target = std::path::Path;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
 /// The real program, started with a configuration of its own.
 pub struct Gateway {
     child: Child,
     pub pg: SocketAddr,
     pub mysql: Option<SocketAddr>,
     pub ops: Option<SocketAddr>,
-    folder: std::path::PathBuf,
+    folder: Arc<Folder>,
     log: Arc<Mutex<String>>,
 }
 
@@ -425,7 +442,7 @@
         mysql: bool,
         coordinator: Option<SocketAddr>,
         operator: &str,
-    ) -> std::path::PathBuf {
+    ) -> Arc<Folder> {
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("wrenhatch-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -445,7 +462,7 @@
             }
         }
         std::fs::write(folder.join("operator.toml"), operator).unwrap();
-        folder
+        Arc::new(Folder(folder))
     }
 
     /// In front of these engines, with a door for operators.
@@ -458,7 +475,7 @@
         Self::launch(self.folder.clone(), self.pg, None, true)
     }
 
-    fn launch(folder: std::path::PathBuf, listen: SocketAddr, descriptors: Option<u32>, door: bool) -> Self {
+    fn launch(folder: Arc<Folder>, listen: SocketAddr, descriptors: Option<u32>, door: bool) -> Self {
         let program = env!("CARGO_BIN_EXE_wrenhatch");
         let mut command = match descriptors {
             None => Command::new(program),
@@ -469,7 +486,7 @@
             }
         };
         command.arg("serve").env("LB_CONFIG", folder.join("config.json")).env("LB_NAME", "t");
-        command.env("TMPDIR", &folder).env("LB_OPS", if door { "127.0.0.1:0" } else { "" });
+        command.env("TMPDIR", &**folder.as_ref()).env("LB_OPS", if door { "127.0.0.1:0" } else { "" });
         command.env("LB_LISTEN", listen.to_string()).stderr(Stdio::piped()).stdout(Stdio::null());
         command.arg("--config").arg(folder.join("operator.toml"));
         let mut child = command.spawn().unwrap();
@@ -520,6 +537,17 @@
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
+    /// Kills it.
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Where it waits for a process that is to take its place.
+    pub fn socket(&self) -> std::path::PathBuf {
+        self.folder.join("wrenhatch-t.sock")
+    }
+
     /// Replaces its configuration's file by what `change` makes of it, and sends SIGHUP.
     pub fn reconfigure(&self, change: impl Fn(String) -> String) {
         let file = self.folder.join("config.json");
@@ -579,6 +607,5 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use common::{Engine, Gateway, Seen, pg};
@@ -124,3 +128,97 @@
     ask(&mut client, "lookup", 5_000, 40);
     assert!(used(5_000) > 0, "one call back is enough");
 }
+
+/// Clients that come and go, each request on a connection of its own, until they are told to stop. How many were
+/// served, and what else there was.
+fn come_and_go(to: std::net::SocketAddr, from: u64, stop: Arc<AtomicBool>) -> JoinHandle<(u64, Vec<String>)> {
+    std::thread::spawn(move || {
+        let (mut served, mut others) = (0, Vec::new());
+        for number in from.. {
+            if stop.load(Ordering::SeqCst) {
+                return (served, others);
+            }
+            match pg::Client::connect(to).query(&text("lookup", number)) {
+                pg::Answer::Rows(_) => served += 1,
+                other => others.push(format!("{other:?}")),
+            }
+        }
+        (served, others)
+    })
+}
+
+#[test]
+fn a_new_process_takes_the_place_and_no_request_is_lost() {
+    let seen = Seen::default();
+    let engines = [Engine::start("e1", &seen, 5), Engine::start("e2", &seen, 5)];
+    let mut gateway = Gateway::start_with_door(&[&engines[0], &engines[1]]);
+    assert_eq!(gateway.call("PUT /maintenance/enter/e1").0, 200);
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> =
+        (0..4).map(|n| come_and_go(gateway.pg, 1_000_000 * (n + 1), stop.clone())).collect();
+    // A load that is under way at the old process, and ends there.
+    let mut long = pg::Client::connect(gateway.pg);
+    for round in 0..3 {
+        engines.iter().for_each(|e| e.set_work_ms(300));
+        long.send(&text("load", round));
+        let began = Instant::now();
+        while seen.engines_of(&format!("{round:016x}")).is_empty() {
+            assert!(began.elapsed() < Duration::from_secs(30), "it is under way");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        engines.iter().for_each(|e| e.set_work_ms(5));
+        let new = gateway.successor();
+        assert_eq!(new.pg, gateway.pg);
+        assert_eq!(new.call("GET /status").0, 200);
+        assert_eq!(new.told("engines_excluded"), 1, "it knows who is out");
+        if round == 1 {
+            // Told to one, it holds for both.
+            assert_eq!(new.call("PUT /maintenance/exit/e1").0, 200);
+            assert_eq!(new.call("PUT /maintenance/enter/e1").0, 200);
+            let began = Instant::now();
+            while gateway.told("engines_excluded") != 1 {
+                assert!(began.elapsed() < Duration::from_secs(30), "the older one hears of it");
+            }
+        }
+        assert!(matches!(long.answer(), pg::Answer::Rows(_)), "what the old one had taken it answers");
+        assert_eq!(seen.engines_of(&format!("{round:016x}")), ["e2"], "once, and not where nothing goes");
+        let (exit, log) = std::mem::replace(&mut gateway, new).end();
+        assert_eq!(exit, Some(0), "{log}");
+        long = pg::Client::connect(gateway.pg);
+    }
+    stop.store(true, Ordering::SeqCst);
+    for client in clients {
+        let (served, others) = client.join().expect("no connection was refused or reset");
+        let refused = others.iter().filter(|o| o.starts_with("Error(\"53")).count();
+        assert!(served > 0 && refused == others.len(), "{served} served, and {others:?}");
+    }
+    let e1 = (1..5).flat_map(|n| 1_000_000 * n..1_000_000 * n + 20_000);
+    assert!(e1.flat_map(|n| seen.engines_of(&format!("{n:016x}"))).all(|e| e == "e2"), "out is out");
+}
+
+#[test]
+fn a_new_process_that_dies_leaves_the_old_one_serving_and_the_next_one_its_place() {
+    let seen = Seen::default();
+    let engines = [Engine::start("e1", &seen, 1), Engine::start("e2", &seen, 1)];
+    let gateway = Gateway::start_with_door(&[&engines[0], &engines[1]]);
+    assert_eq!(gateway.call("PUT /maintenance/enter/e2").0, 200);
+    let mut client = pg::Client::connect(gateway.pg);
+    for round in 0..3 {
+        let new = gateway.successor();
+        gateway.logged("takes the clients");
+        new.kill();
+        let mut back = pg::Client::connect(gateway.pg);
+        ask(&mut back, "lookup", 1_000 * (round + 1), 5);
+        ask(&mut client, "lookup", 1_000 * (round + 1) + 500, 5);
+    }
+    // Somebody who is no newer process asks for its place, and is not given it.
+    let mut foreign = UnixStream::connect(gateway.socket()).unwrap();
+    foreign.write_all(b"{\"hello\":\"other\",\"listen\":\"127.0.0.1:1\",\"form\":1}\n").unwrap();
+    assert_eq!(foreign.read(&mut [0; 64]).unwrap(), 0);
+    let new = gateway.successor();
+    assert_eq!(new.told("engines_excluded"), 1);
+    assert_eq!(gateway.end().0, Some(0));
+    let mut client = pg::Client::connect(new.pg);
+    ask(&mut client, "lookup", 9_000, 5);
+    assert_eq!(new.call("PUT /maintenance/exit/e2").0, 200);
+}
