Count what became of each class over a fleet from the gateways' logs

Change: wrenhatch-lab classes FOLDER: for each class and second taken, served, refused, failed, attempts, given up, mean time held and served, and by which guard held in vain; sums, and the same for the quietest and busiest tenth of the gateways; JSON.

Two tests on a log written for them. Not told apart: in time and late (the log knows no aims), zones, and how long a gateway has run.

--- /dev/null
+++ b/lab/src/classes.rs
@@ -0,0 +1,245 @@
+//! What became of each class of requests over a fleet, second by second, from the gateways' logs at debug.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+use serde::Serialize;
+
+/// Counts by class what gateways logged with `--log debug`.
+#[derive(clap::Args)]
+pub struct Options {
+    /// A folder with one log for each gateway, named `*.log`.
+    logs: PathBuf,
+    /// Only sums over the whole time, not second by second.
+    #[arg(long)]
+    sums: bool,
+    #[command(flatten)]
+    output: super::Output,
+}
+
+/// What was seen of one class.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Count {
+    /// Requests taken.
+    pub taken: u64,
+    /// Attempts sent, and those that were given up.
+    pub attempts: u64,
+    /// Attempts that were given up.
+    pub given_up: u64,
+    /// Final answers.
+    pub served: u64,
+    /// Final answers.
+    pub refused: u64,
+    /// Final answers.
+    pub failed: u64,
+    /// Refused while held, by the guard that kept it from most engines.
+    pub guards: BTreeMap<String, u64>,
+    /// Seconds from taken to first sent, of those that were sent.
+    pub held_s: f64,
+    /// Seconds from taken to answered, of those that were served.
+    pub took_s: f64,
+    /// How many were sent at least once.
+    pub sent: u64,
+}
+
+impl Count {
+    fn add(&mut self, other: &Self) {
+        self.taken += other.taken;
+        self.attempts += other.attempts;
+        self.given_up += other.given_up;
+        self.served += other.served;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.sent += other.sent;
+        self.held_s += other.held_s;
+        self.took_s += other.took_s;
+        for (guard, n) in &other.guards {
+            *self.guards.entry(guard.clone()).or_default() += n;
+        }
+    }
+}
+
+/// Counts by class and second.
+pub type Seconds = BTreeMap<(usize, u64), Count>;
+
+/// The value of `key=` in a line, without quotes.
+fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    let start = line
+        .match_indices(key)
+        .find(|(at, _)| line[..*at].ends_with(' ') && line[at + key.len()..].starts_with('='))?;
+    let rest = &line[start.0 + key.len() + 1..];
+    rest.split_whitespace().next().map(|word| word.trim_matches('"'))
+}
+
+/// Seconds of a line: what stands before it, as `0.054` or `[0.05]`, or else the gateway's own clock.
+fn at(line: &str) -> Option<f64> {
+    let stamp = line.split_whitespace().next()?.trim_matches(['[', ']']).parse::<f64>().ok();
+    stamp.or_else(|| Some(field(line, "now_us")?.parse::<f64>().ok()? / 1e6))
+}
+
+/// Counts one gateway's log.
+pub fn count(log: impl BufRead) -> std::io::Result<Seconds> {
+    let mut seconds = Seconds::new();
+    // By ticket: class, when it was taken, whether it was sent.
+    let mut open: HashMap<String, (usize, f64, bool)> = HashMap::new();
+    for line in log.lines() {
+        let line = line?;
+        let Some(now) = at(&line) else { continue };
+        if line.contains("held in vain") {
+            let class = field(&line, "class").and_then(|c| c.parse().ok());
+            if let (Some(class), Some(guard)) = (class, field(&line, "why")) {
+                let count = seconds.entry((class, now as u64)).or_default();
+                *count.guards.entry(guard.to_owned()).or_default() += 1;
+            }
+            continue;
+        }
+        let Some(ticket) = field(&line, "ticket") else { continue };
+        if line.contains(" taken ") {
+            let Some(class) = field(&line, "class").and_then(|c| c.parse().ok()) else { continue };
+            open.insert(ticket.to_owned(), (class, now, false));
+            seconds.entry((class, now as u64)).or_default().taken += 1;
+            continue;
+        }
+        let Some((class, taken, sent)) = open.get_mut(ticket) else { continue };
+        let count = seconds.entry((*class, now as u64)).or_default();
+        if line.contains(" sent ") {
+            count.attempts += 1;
+            if !std::mem::replace(sent, true) {
+                count.sent += 1;
+                count.held_s += now - *taken;
+            }
+        } else if line.contains(" given up ") {
+            count.given_up += 1;
+        } else if line.contains(" answered ") {
+            match field(&line, "how") {
+                Some("served") => {
+                    count.served += 1;
+                    count.took_s += now - *taken;
+                }
+                Some("refused") => count.refused += 1,
+                _ => count.failed += 1,
+            }
+            // Its last attempt may still be given up behind the answer.
+        }
+    }
+    Ok(seconds)
+}
+
+fn sums(seconds: &Seconds) -> BTreeMap<usize, Count> {
+    let mut sums = BTreeMap::<usize, Count>::new();
+    seconds.iter().for_each(|((class, _), count)| sums.entry(*class).or_default().add(count));
+    sums
+}
+
+fn print(what: &str, count: &Count) {
+    let mean = |sum: f64, n: u64| if n > 0 { sum / n as f64 } else { 0.0 };
+    let guards: Vec<String> = count.guards.iter().map(|(guard, n)| format!("{guard} {n}")).collect();
+    println!(
+        "{what:<16} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>7.2} {:>7.2}  {}",
+        count.taken,
+        count.served,
+        count.refused,
+        count.failed,
+        count.attempts,
+        count.given_up,
+        mean(count.held_s, count.sent),
+        mean(count.took_s, count.served),
+        guards.join(", ")
+    );
+}
+
+/// What is written as JSON.
+#[derive(Serialize)]
+struct Figures {
+    classes: BTreeMap<usize, Count>,
+    quietest_tenth: BTreeMap<usize, Count>,
+    busiest_tenth: BTreeMap<usize, Count>,
+}
+
+fn logs(folder: &Path) -> anyhow::Result<Vec<PathBuf>> {
+    let entries = std::fs::read_dir(folder).with_context(|| folder.display().to_string())?;
+    let mut logs: Vec<PathBuf> = entries.map(|e| Ok(e?.path())).collect::<std::io::Result<_>>()?;
+    logs.retain(|path| path.extension().is_some_and(|e| e == "log"));
+    logs.sort();
+    anyhow::ensure!(!logs.is_empty(), "{}: no *.log here", folder.display());
+    Ok(logs)
+}
+
+/// Counts all logs of a folder and prints the table.
+pub fn run(options: &Options) -> anyhow::Result<()> {
+    let mut gateways = Vec::new();
+    for path in logs(&options.logs)? {
+        let file = std::fs::File::open(&path).with_context(|| path.display().to_string())?;
+        gateways.push(count(BufReader::new(file)).with_context(|| path.display().to_string())?);
+    }
+    let mut all = Seconds::new();
+    for gateway in &gateways {
+        gateway.iter().for_each(|(key, count)| all.entry(*key).or_default().add(count));
+    }
+    println!(
+        "class, second      taken  served refused  failed attempts given up  held s  took s  held in vain by guard"
+    );
+    for ((class, second), count) in all.iter().filter(|_| !options.sums) {
+        print(&format!("{class}, {second}"), count);
+    }
+    let classes = sums(&all);
+    classes.iter().for_each(|(class, count)| print(&format!("{class}, all"), count));
+    // A gateway's own traffic decides what its shares are worth to it.
+    gateways.sort_by_key(|g| g.values().map(|c| c.taken).sum::<u64>());
+    let tenth = gateways.len().div_ceil(10);
+    let part = |gateways: &[Seconds]| {
+        let mut part = BTreeMap::<usize, Count>::new();
+        for (class, count) in gateways.iter().flat_map(sums) {
+            part.entry(class).or_default().add(&count);
+        }
+        part
+    };
+    let (quietest_tenth, busiest_tenth) =
+        (part(&gateways[..tenth]), part(&gateways[gateways.len() - tenth..]));
+    quietest_tenth.iter().for_each(|(class, count)| print(&format!("{class}, quietest"), count));
+    busiest_tenth.iter().for_each(|(class, count)| print(&format!("{class}, busiest"), count));
+    options.output.write(&Figures { classes, quietest_tenth, busiest_tenth })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LOG: &str = r#"0.000  INFO wrenhatch: serving name=n1
+0.054 DEBUG wrenhatch::net::clients: taken ticket="a1" request=1 class=0 wait_us=2087000 now_us=41676
+0.104 DEBUG wrenhatch::net::engines: sent ticket="a1" number=0 engine=1 class=0 now_us=42104
+0.207 DEBUG wrenhatch::net::engines: ended ticket="a1" number=0 engine=1 now_us=194537 outcome=Success
+0.254 DEBUG wrenhatch::net::clients: answered ticket="a1" now_us=194537 how="served"
+0.300 DEBUG wrenhatch::net::clients: taken ticket="b2" request=2 class=1 wait_us=13921000 now_us=300000
+1.400 DEBUG notchridge::policy::explain: held in vain request=2 class=1 why=threads open=0 threads=80 held=1.10
+1.400 DEBUG wrenhatch::net::clients: answered ticket="b2" now_us=1400000 how="refused"
+1.500 DEBUG wrenhatch::net::clients: taken ticket="c3" request=3 class=1 wait_us=13921000 now_us=1500000
+1.500 DEBUG wrenhatch::net::engines: sent ticket="c3" number=0 engine=1 class=1 now_us=1500000
+1.700 DEBUG wrenhatch::net::engines: given up ticket="c3" number=0 now_us=1700000
+1.800 DEBUG wrenhatch::net::engines: sent ticket="c3" number=1 engine=2 class=1 now_us=1800000
+"#;
+
+    #[test]
+    fn a_log_is_counted_by_class_and_second() {
+        let seconds = count(LOG.as_bytes()).unwrap();
+        let first = &seconds[&(0, 0)];
+        assert_eq!((first.taken, first.served, first.attempts, first.sent), (1, 1, 1, 1));
+        assert!((first.held_s - 0.05).abs() < 1e-9 && (first.took_s - 0.2).abs() < 1e-9, "{first:?}");
+        assert_eq!(seconds[&(1, 0)].taken, 1);
+        let second = &seconds[&(1, 1)];
+        assert_eq!((second.taken, second.refused, second.attempts, second.given_up), (1, 1, 2, 1));
+        assert_eq!(second.guards, BTreeMap::from([("threads".to_owned(), 1)]));
+        assert_eq!((second.sent, sums(&seconds)[&1].taken), (1, 2));
+    }
+
+    #[test]
+    fn lines_without_a_stamp_go_by_the_gateways_own_clock() {
+        assert_eq!(at("DEBUG wrenhatch: taken ticket=\"a\" now_us=2500000"), Some(2.5));
+        assert_eq!(at("[3.25] DEBUG wrenhatch: taken"), Some(3.25));
+        assert_eq!(at("no time"), None);
+        assert_eq!(field("x ticket=\"a\" now_us=1", "now_us"), Some("1"));
+        assert_eq!(field("x unclass=1", "class"), None);
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! Experiments on the gateway. Everything binds to loopback and stops by itself.
 
+mod classes;
 mod fleet;
 mod helper;
 mod idle;
@@ -33,6 +34,8 @@
 enum Command {
     /// What idle sessions cost, how punctual timers are, and what a wake-up of half of them does.
     Idle(idle::Options),
+    /// What became of each class over a fleet, from its gateways' logs at debug.
+    Classes(classes::Options),
     /// Opens and holds sessions for `idle`, by commands on its standard input.
     #[command(hide = true)]
     Helper {
@@ -67,6 +70,7 @@
 fn main() -> anyhow::Result<()> {
     match Arguments::parse().command {
         Command::Idle(options) => idle::run(&options),
+        Command::Classes(options) => classes::run(&options),
         Command::Helper { address, source, front, connections } => {
             helper::run(address, source, front, connections)
         }
