Share a gateway's descriptors between the two processes of an upgrade

Need: memory and descriptors of both processes are counted together. Each took the whole for its own bound: with 384 descriptors 190 connections to engines each, 128 clients and what both keep for themselves.

Change: while another process of the gateway is there, each keeps to half of what clients and own descriptors leave, and the older one closes idle connections beyond it.

The new test fails with the share taken out (tried).

--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -326,8 +326,7 @@
         if e.state == EngineState::Gone && self.pools.engines.values().any(taken_over) {
             return Err(Outcome::Void);
         }
-        if self.pools.conns >= super::sessions::most_engine_conns(&self.config) && !self.close_an_idle_link()
-        {
+        if self.pools.conns >= self.most_engine_conns() && !self.close_an_idle_link() {
             return Err(Outcome::Void);
         }
         let wire = match (tongue, &self.config.mysql) {
@@ -352,6 +351,15 @@
         }
     }
 
+    fn most_engine_conns(&self) -> usize {
+        super::sessions::most_engine_conns(&self.config, self.family.is_alone())
+    }
+
+    /// Another process of this gateway has come: idle connections beyond this one's half are closed.
+    pub(super) fn share_descriptors(&mut self) {
+        while self.pools.conns > self.most_engine_conns() && self.close_an_idle_link() {}
+    }
+
     /// Makes room within the descriptor budget.
     fn close_an_idle_link(&mut self) -> bool {
         let pools = self.pools.engines.values_mut().flat_map(|e| &mut e.idle);
--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -172,6 +172,11 @@
         self.peers.iter().position(|p| HANDOVER | u64::from(p.serial) == key)
     }
 
+    /// Whether there is no other process of this gateway.
+    pub fn is_alone(&self) -> bool {
+        self.peers.iter().all(|p| p.role == Role::Caller)
+    }
+
     /// Whether a newer process takes the clients.
     fn is_followed(&self) -> bool {
         self.peers.iter().any(|p| p.role == Role::Taker)
@@ -328,6 +333,7 @@
             Some(Ok(n)) => {
                 peer.output = out.split_off(n);
                 peer.role = Role::Heir;
+                self.share_descriptors();
                 true
             }
             failed => {
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -236,9 +236,12 @@
     config.clients.most.unwrap_or(config.sockets / 3 + 16)
 }
 
-/// Connections that engines may have.
-pub fn most_engine_conns(config: &Config) -> usize {
-    config.sockets.saturating_sub(most_clients(config) + own_descriptors(config))
+/// Connections that engines may have. Two processes of one gateway share its descriptors: clients are at one or the
+/// other, and of what is left each has half.
+pub fn most_engine_conns(config: &Config, alone: bool) -> usize {
+    let own = own_descriptors(config);
+    let most = config.sockets.saturating_sub(most_clients(config) + own);
+    if alone { most } else { most.saturating_sub(own) / 2 }
 }
 
 /// The group of an address.
@@ -487,3 +490,24 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::{self, Node};
+
+    #[test]
+    fn two_processes_of_one_gateway_stay_within_its_descriptors() {
+        let text = include_str!("../../tests/common/config.json").replace("LIST", "");
+        let mut config = config::read(&Node::root(&text.parse().unwrap(), "config")).unwrap();
+        config.ops = Some(([127, 0, 0, 1], 1).into());
+        for sockets in 256..=1024 {
+            config.sockets = sockets;
+            let (alone, each) = (most_engine_conns(&config, true), most_engine_conns(&config, false));
+            let own = own_descriptors(&config);
+            assert!(most_clients(&config) + own + alone <= sockets);
+            assert!(most_clients(&config) + 2 * (own + each) <= sockets, "{sockets}: {each} each");
+            assert!(each > 10, "{sockets}: enough to serve over");
+        }
+    }
+}
