Simplify what a handover keeps, and say that listeners are duplicated

Whoever connected to the path of a handover and left without taking the place made the process bind that path anew, though nobody else had bound it; only one who takes the clients has. The names of classes were copied at the start for the figures alone, and an inheritance was emptied by hand before it was taken apart. poll.rs still said that no descriptor is ever duplicated, which listeners now are.

Change: the path is bound anew only where a process that had taken the place has ended; the copies are gone; the reason beside the unsafe call is true again. Behaviour is otherwise as it was, and no test was changed.

--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -30,8 +30,9 @@
 pub struct Inheritance {
     pub listeners: Vec<TcpListener>,
     pub words: Vec<Word>,
-    stream: UnixStream,
-    rest: Vec<u8>,
+    /// The connection, for as long as both live, and what came over it behind the state.
+    pub stream: UnixStream,
+    pub rest: Vec<u8>,
 }
 
 /// Where the older process listens: under the folder that the platform gives this gateway alone. None without an
@@ -346,12 +347,10 @@
     fn peer_gone(&mut self, at: usize) {
         let peer = self.family.peers.remove(at);
         self.poll.remove(&peer.stream);
-        // Whoever was to take this one's place has ended first: all is as it was.
-        if peer.role != Role::Elder && self.time.stopping_since.is_none() && !self.family.is_followed() {
-            if peer.role == Role::Taker {
-                tracing::warn!("the newer process has ended: taking clients again");
-                self.doors.take_back(&self.poll);
-            }
+        // Whoever had taken this one's place, and the path to it, has ended first: all is as it was.
+        if peer.role == Role::Taker && self.time.stopping_since.is_none() && !self.family.is_followed() {
+            tracing::warn!("the newer process has ended: taking clients again");
+            self.doors.take_back(&self.poll);
             self.family.listen(&self.poll);
         }
     }
@@ -368,10 +367,3 @@
         }
     }
 }
-
-impl Inheritance {
-    /// The connection, for as long as both live.
-    pub fn into_stream(self) -> (UnixStream, Vec<u8>) {
-        (self.stream, self.rest)
-    }
-}
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -143,7 +143,7 @@
         let ops = ops::Ops::open(config.ops, &poll)?;
         let (last, known) = std::mem::take(&mut config.known);
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let class_names: Vec<String> = config.names.classes.clone();
+        let figures = Figures::new(config.names.classes.iter().map(String::as_str));
         let mut server = Self {
             core: Core::new(config.settings.clone(), config.seed)?,
             names: std::mem::take(&mut config.names),
@@ -165,15 +165,15 @@
             ops,
             family: handover::Family::default(),
             roster: Roster::new(config.memory),
-            figures: Figures::new(class_names.iter().map(String::as_str)),
+            figures,
             inputs: Vec::new(),
             config,
         };
         server.timers.arm(0, Alarm::Feed);
         known.iter().for_each(|event| server.listed(event));
-        let elder = inheritance.map(|mut i| {
-            server.take_over(std::mem::take(&mut i.words));
-            i.into_stream()
+        let elder = inheritance.map(|i| {
+            server.take_over(i.words);
+            (i.stream, i.rest)
         });
         // Whoever calls first finds the core with all that is known.
         server.turn();
--- a/gateway/src/net/poll.rs
+++ b/gateway/src/net/poll.rs
@@ -60,7 +60,8 @@
         // SAFETY: the source must be deleted from the poller before it is dropped. Sources live in the
         // server beside the poller; each is closed in one place, which calls `remove` first, and those that
         // live to the end are dropped with the poller itself. A descriptor closed without that would only
-        // leave the kernel's set by itself, as no descriptor is ever duplicated here.
+        // leave the kernel's set by itself; listeners alone are duplicated, into the process that takes this one's
+        // place, and are removed before they are closed here.
         #[allow(unsafe_code)]
         unsafe {
             self.poller.add_with_mode(source.as_raw_fd(), Self::event(key, interest), told.mode())
