Read an event of the list by its good part; an engine of a bad entry drains

Now each entry is read for itself. The event is still asked for once more, in case it was spoilt on its way. One warning an event, with engine, number of bad entries, place and what was expected. Tests: 3,001 entries of which four are bad (config), drain and return (roster), an engine in an unknown state beside one that drains against the real program (fronts).

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -180,13 +180,34 @@
     pub full: bool,
     /// Its entries.
     pub entries: Vec<Listed>,
+    /// Those that can't be read. The others count all the same.
+    pub unread: Vec<Unread>,
 }
 
-/// Reads one event, `{"index":N,"endpoints":{"snapshot":..,"endpoints":[..]}}`.
+/// An entry of an event that can't be read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unread {
+    /// The engine it is about, if it says so much.
+    pub name: Option<String>,
+    /// Where it stands and what was expected there.
+    pub why: String,
+}
+
+/// Reads one event, `{"index":N,"endpoints":{"snapshot":..,"endpoints":[..]}}`, by its good part.
+///
+/// # Errors
+/// It is no event: what it holds, its number or whether it is the whole list can't be read.
 pub fn list_event(node: &Node<'_>) -> Result<ListEvent, ConfigError> {
     let body = node.get("endpoints");
-    let entries = body.get("endpoints").items()?.iter().map(list_entry).collect::<Result<_, _>>()?;
-    Ok(ListEvent { index: node.get("index").number()? as u64, full: body.get("snapshot").flag()?, entries })
+    let (mut entries, mut unread) = (Vec::new(), Vec::new());
+    for node in body.get("endpoints").items()? {
+        match list_entry(&node) {
+            Ok(entry) => entries.push(entry),
+            Err(e) => unread.push(Unread { name: node.get("name").text().ok(), why: e.to_string() }),
+        }
+    }
+    let (index, full) = (node.get("index").number()? as u64, body.get("snapshot").flag()?);
+    Ok(ListEvent { index, full, entries, unread })
 }
 
 /// Reads an event from its text.
@@ -517,6 +538,27 @@
         assert_eq!((c.known.0, c.known.1.len(), c.known.1[0].full), (1, 1, true));
     }
 
+    #[test]
+    fn a_list_is_read_by_its_good_part() {
+        let entry = |n: usize| {
+            let status = if n % 1000 == 7 { "Sick" } else { "Ready" };
+            format!("{{\"name\":\"e{n}\",\"address\":\"127.0.0.1:9\",\"status\":\"{status}\"}}")
+        };
+        let list: Vec<String> = (0..3000).map(entry).chain(["7".to_owned()]).collect();
+        let event = |list: &str| {
+            list_event_text(&format!(
+                "{{\"index\":4,\"endpoints\":{{\"snapshot\":true,\"endpoints\":{list}}}}}"
+            ))
+        };
+        let read = event(&format!("[{}]", list.join(","))).unwrap();
+        assert_eq!((read.index, read.full, read.entries.len()), (4, true, 2997));
+        let names: Vec<_> = read.unread.iter().map(|u| u.name.as_deref()).collect();
+        assert_eq!(names, [Some("e7"), Some("e1007"), Some("e2007"), None]);
+        let why = "event.endpoints.endpoints[1007].status: Ready, Terminating or Gone expected";
+        assert_eq!(read.unread[1].why, why);
+        assert!(event("7").is_err(), "nothing of it can be read");
+    }
+
     #[test]
     fn mistakes_are_named() {
         let error = |from: &str, to: &str| {
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -145,6 +145,17 @@
     /// Takes in an event of the list.
     pub(super) fn listed(&mut self, event: &ListEvent) {
         self.counters.list_events += 1;
+        // One line however many there are: a list of thousands may be wrong throughout.
+        if let Some(first) = event.unread.first() {
+            let (engine, unread) = (first.name.as_deref().unwrap_or("unnamed"), event.unread.len());
+            tracing::warn!(
+                event = event.index,
+                engine,
+                unread,
+                "an entry of the list can't be read: {}",
+                first.why
+            );
+        }
         let event = self.roster.apply(event);
         self.take_list(&event);
     }
@@ -969,7 +980,7 @@
             let (name, address) = (format!("e{n}"), ([127, 0, 0, 1], 9).into());
             let (zone, kind) = ("z".to_owned(), "k".to_owned());
             let entries = vec![Listed { name, address, zone, kind, cell: 0, state, since_ms: 0 }];
-            ListEvent { index: 2 * n, full: false, entries }
+            ListEvent { index: 2 * n, full: false, entries, unread: Vec::new() }
         };
         for n in 0..100 {
             server.listed(&event(n, EngineState::Ready));
--- a/gateway/src/net/feed.rs
+++ b/gateway/src/net/feed.rs
@@ -135,7 +135,16 @@
         let Some((conn, stream)) = &mut self.feed.up else { return };
         let mut events = Vec::new();
         let read = stream.read(&mut conn.input, &mut events);
-        events.iter().for_each(|event| self.list_event(event));
+        for event in &events {
+            // The same as for one of which nothing can be read; meanwhile its good part counts.
+            if !event.unread.is_empty() && event.index > self.feed.last && self.feed.unreadable != event.index
+            {
+                self.feed.unreadable = event.index;
+                self.listed(event);
+                return self.feed_lost();
+            }
+            self.list_event(event);
+        }
         if let Err(e) = read {
             tracing::warn!("{e}");
             // It may have been spoilt on its way and is asked for once more. One that still can't be read is
--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -226,7 +226,7 @@
             "taken over from the older process"
         );
         if !entries.is_empty() {
-            self.listed(&ListEvent { index: 0, full: true, entries });
+            self.listed(&ListEvent { index: 0, full: true, entries, unread: Vec::new() });
         }
     }
 
--- a/gateway/src/roster.rs
+++ b/gateway/src/roster.rs
@@ -45,11 +45,18 @@
 
     /// Takes in an event of the list, and tells it as it counts: who is out by hand drains, whatever the list
     /// says, and who has come back started then at the earliest.
+    ///
+    /// An engine whose entry can't be read stays as it was listed, but drains: nothing says that it may be sent to.
     pub fn apply(&mut self, event: &ListEvent) -> ListEvent {
+        let unread = event.unread.iter().filter_map(|u| self.listed.get(u.name.as_ref()?));
+        let mut entries: Vec<Listed> =
+            unread.map(|l| Listed { state: EngineState::Draining, ..l.clone() }).collect();
         if event.full {
             self.listed.clear();
         }
-        for l in &event.entries {
+        // Where an event has two of one name, the one that can be read counts.
+        entries.extend_from_slice(&event.entries);
+        for l in &entries {
             self.remember(&l.name);
             if l.state == EngineState::Gone {
                 self.listed.remove(&l.name);
@@ -57,8 +64,8 @@
                 self.listed.insert(l.name.clone(), l.clone());
             }
         }
-        let entries = event.entries.iter().map(|l| self.counts_as(l)).collect();
-        ListEvent { index: event.index, full: event.full, entries }
+        let entries = entries.iter().map(|l| self.counts_as(l)).collect();
+        ListEvent { index: event.index, full: event.full, entries, unread: Vec::new() }
     }
 
     fn counts_as(&self, l: &Listed) -> Listed {
@@ -124,7 +131,7 @@
 
     fn change(&self, name: &str) -> Option<ListEvent> {
         let entries = vec![self.counts_as(self.listed.get(name)?)];
-        Some(ListEvent { index: 0, full: false, entries })
+        Some(ListEvent { index: 0, full: false, entries, unread: Vec::new() })
     }
 
     /// How many engines are in the list.
@@ -158,7 +165,8 @@
     }
 
     fn event(full: bool, entries: &[(&str, EngineState, u64)]) -> ListEvent {
-        ListEvent { index: 1, full, entries: entries.iter().map(|(n, s, ms)| listed(n, *s, *ms)).collect() }
+        let entries = entries.iter().map(|(n, s, ms)| listed(n, *s, *ms)).collect();
+        ListEvent { index: 1, full, entries, unread: Vec::new() }
     }
 
     fn seen(event: Option<ListEvent>) -> Vec<(EngineState, u64)> {
@@ -189,6 +197,23 @@
         assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 300)])))), [(Ready, 300)]);
     }
 
+    #[test]
+    fn an_engine_whose_entry_can_t_be_read_drains_until_one_can() {
+        let unread = |name: &str| crate::config::Unread { name: Some(name.into()), why: "no state".into() };
+        let mut roster = Roster::new(1 << 20);
+        roster.apply(&event(true, &[("a", Ready, 3), ("b", Ready, 5)]));
+        for full in [false, true] {
+            let spoilt =
+                ListEvent { unread: vec![unread("b"), unread("c")], ..event(full, &[("a", Ready, 3)]) };
+            assert_eq!(seen(Some(roster.apply(&spoilt))), [(Draining, 5), (Ready, 3)], "full: {full}");
+            assert_eq!(roster.known(), 2, "c was never listed");
+        }
+        assert_eq!(seen(Some(roster.apply(&event(false, &[("b", Ready, 5)])))), [(Ready, 5)]);
+        // Twice in one event, the one that can be read counts.
+        let twice = ListEvent { unread: vec![unread("b")], ..event(false, &[("b", Ready, 5)]) };
+        assert_eq!(seen(Some(roster.apply(&twice))).last(), Some(&(Ready, 5)));
+    }
+
     #[test]
     fn names_are_bounded_and_bans_are_not_forgotten() {
         let mut roster = Roster::new(0);
--- a/gateway/tests/fronts.rs
+++ b/gateway/tests/fronts.rs
@@ -253,6 +253,26 @@
     assert_eq!(exit, Some(0), "{log}");
 }
 
+#[test]
+fn an_entry_that_can_t_be_read_costs_no_other_engine() {
+    let seen = Seen::default();
+    let engines: Vec<Engine> = ["e1", "e2", "e3"].iter().map(|name| Engine::start(name, &seen, 1)).collect();
+    let [one, two, three] = &engines[..] else { unreachable!() };
+    // The second is in a state that nobody knows, the third drains.
+    let list = format!("{},{}", two.entry("Sick"), three.entry("Terminating"));
+    let coordinator = Coordinator::steady(2, vec![Coordinator::change(2, &list)]);
+    let gateway = Gateway::start_with(&[one, two, three], false, Some(coordinator.address));
+    gateway.logged("engine=\"e2\" unread=1");
+    let began = Instant::now();
+    while coordinator.asked.lock().unwrap().len() < 2 {
+        assert!(began.elapsed() < Duration::from_secs(60), "asked for once more");
+        thread::sleep(Duration::from_millis(5));
+    }
+    let mut client = pg::Client::connect(gateway.pg);
+    only_served_by(&mut client, "e1");
+    assert_eq!(*coordinator.asked.lock().unwrap(), ["1", "1"]);
+}
+
 #[test]
 fn an_event_that_can_t_be_read_keeps_no_later_one_out() {
     let seen = Seen::default();
