--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -93,7 +93,7 @@
 
 /// A connection to an engine.
 pub struct Link {
-    engine: EngineId,
+    pub engine: EngineId,
     job: Job,
     wire: Wire,
     /// When the call was written whose answer is awaited.
@@ -195,6 +195,8 @@
                 e.address = l.address;
             }
             (e.state, e.since_ms) = (l.state, l.since_ms);
+            let now_us = self.time.now_us;
+            tracing::debug!(engine = id.0, name = l.name, state = ?l.state, since_ms = l.since_ms, now_us, "engine listed");
             entries.push(self.entry(id, l));
         }
         for at in stale {
@@ -351,6 +353,8 @@
                 let link = Link { engine, job, wire, asked_us: self.time.now_us };
                 self.pools.put(at, conn, link);
                 self.counters.engine_connects += 1;
+                let give_up = matches!(job, Job::Delete(_));
+                tracing::debug!(engine = engine.0, give_up, now_us = self.time.now_us, "connection opened");
                 Ok(at)
             }
             Err(e) => {
--- a/gateway/src/net/pools.rs
+++ b/gateway/src/net/pools.rs
@@ -85,6 +85,7 @@
             timers.cancel(timer);
         }
         peer.conn.close(poll);
+        tracing::debug!(engine = peer.link.engine.0, "connection closed");
         self.left_free.push(at);
         self.conns -= 1;
         Some(peer.link)
--- a/lab/src/classes.rs
+++ b/lab/src/classes.rs
@@ -1,12 +1,13 @@
 //! What became of each class of requests over a fleet, second by second, from the gateways' logs at debug.
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
+use std::io::BufRead;
+use std::path::PathBuf;
 
-use anyhow::Context;
 use serde::Serialize;
 
+use super::log::{at, each, field};
+
 /// Counts by class what gateways logged with `--log debug`.
 #[derive(clap::Args)]
 pub struct Options {
@@ -64,21 +65,6 @@
 /// Counts by class and second.
 pub type Seconds = BTreeMap<(usize, u64), Count>;
 
-/// The value of `key=` in a line, without quotes.
-fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    let start = line
-        .match_indices(key)
-        .find(|(at, _)| line[..*at].ends_with(' ') && line[at + key.len()..].starts_with('='))?;
-    let rest = &line[start.0 + key.len() + 1..];
-    rest.split_whitespace().next().map(|word| word.trim_matches('"'))
-}
-
-/// Seconds of a line: what stands before it, as `0.054` or `[0.05]`, or else the gateway's own clock.
-fn at(line: &str) -> Option<f64> {
-    let stamp = line.split_whitespace().next()?.trim_matches(['[', ']']).parse::<f64>().ok();
-    stamp.or_else(|| Some(field(line, "now_us")?.parse::<f64>().ok()? / 1e6))
-}
-
 /// Counts one gateway's log.
 pub fn count(log: impl BufRead) -> std::io::Result<Seconds> {
     let mut seconds = Seconds::new();
@@ -158,22 +144,9 @@
     busiest_tenth: BTreeMap<usize, Count>,
 }
 
-fn logs(folder: &Path) -> anyhow::Result<Vec<PathBuf>> {
-    let entries = std::fs::read_dir(folder).with_context(|| folder.display().to_string())?;
-    let mut logs: Vec<PathBuf> = entries.map(|e| Ok(e?.path())).collect::<std::io::Result<_>>()?;
-    logs.retain(|path| path.extension().is_some_and(|e| e == "log"));
-    logs.sort();
-    anyhow::ensure!(!logs.is_empty(), "{}: no *.log here", folder.display());
-    Ok(logs)
-}
-
 /// Counts all logs of a folder and prints the table.
 pub fn run(options: &Options) -> anyhow::Result<()> {
-    let mut gateways = Vec::new();
-    for path in logs(&options.logs)? {
-        let file = std::fs::File::open(&path).with_context(|| path.display().to_string())?;
-        gateways.push(count(BufReader::new(file)).with_context(|| path.display().to_string())?);
-    }
+    let mut gateways = each(&options.logs, count)?;
     let mut all = Seconds::new();
     for gateway in &gateways {
         gateway.iter().for_each(|(key, count)| all.entry(*key).or_default().add(count));
@@ -233,13 +206,4 @@
         assert_eq!(second.guards, BTreeMap::from([("threads".to_owned(), 1)]));
         assert_eq!((second.sent, sums(&seconds)[&1].taken), (1, 2));
     }
-
-    #[test]
-    fn lines_without_a_stamp_go_by_the_gateways_own_clock() {
-        assert_eq!(at("DEBUG wrenhatch: taken ticket=\"a\" now_us=2500000"), Some(2.5));
-        assert_eq!(at("[3.25] DEBUG wrenhatch: taken"), Some(3.25));
-        assert_eq!(at("no time"), None);
-        assert_eq!(field("x ticket=\"a\" now_us=1", "now_us"), Some("1"));
-        assert_eq!(field("x unclass=1", "class"), None);
-    }
 }
--- /dev/null
+++ b/lab/src/engines.rs
@@ -0,0 +1,230 @@
+//! What a fleet does to its engines, summed over the gateways' logs at debug: connections, attempts, and when each
+//! gateway learned of a change.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::io::BufRead;
+use std::path::PathBuf;
+
+use serde::Serialize;
+
+use super::log::{at, each, field};
+
+/// Counts what gateways logged of their engines with `--log debug`.
+#[derive(clap::Args)]
+pub struct Options {
+    /// A folder with one log for each gateway, named `*.log`.
+    logs: PathBuf,
+    /// Each engine by itself too.
+    #[arg(long)]
+    each: bool,
+    #[command(flatten)]
+    output: super::Output,
+}
+
+/// What was seen of one engine, or of all, in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Count {
+    /// Connections opened by a gateway that had none to it before.
+    pub first: u64,
+    /// By one whose earlier ones had all been closed.
+    pub again: u64,
+    /// By one whose others were all in use.
+    pub more: u64,
+    /// Of all these, for giving an attempt up.
+    pub to_give_up: u64,
+    /// Connections closed.
+    pub closed: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Attempts served.
+    pub served: u64,
+    /// Attempts that ended otherwise.
+    pub other: u64,
+}
+
+impl Count {
+    fn add(&mut self, o: &Self) {
+        self.first += o.first;
+        self.again += o.again;
+        self.more += o.more;
+        self.to_give_up += o.to_give_up;
+        self.closed += o.closed;
+        self.sent += o.sent;
+        self.served += o.served;
+        self.other += o.other;
+    }
+
+    fn opened(&self) -> u64 {
+        self.first + self.again + self.more
+    }
+}
+
+/// What one gateway's log holds.
+#[derive(Debug, Default)]
+pub struct Log {
+    /// By engine and second.
+    counts: BTreeMap<(String, u64), Count>,
+    /// When it was first told of an engine's state, by name, state and start.
+    told: BTreeMap<(String, String, u64), f64>,
+}
+
+/// Reads one gateway's log. Engines that it was not told of by name are left out.
+pub fn read(log: impl BufRead) -> std::io::Result<Log> {
+    let mut out = Log::default();
+    // Numbers are this gateway's own; names are the fleet's.
+    let mut names: HashMap<String, String> = HashMap::new();
+    let (mut met, mut open) = (HashSet::new(), HashMap::<String, u64>::new());
+    for line in log.lines() {
+        let line = line?;
+        let (Some(now), Some(number)) = (at(&line), field(&line, "engine")) else { continue };
+        if line.contains("engine listed") {
+            let word = |key| field(&line, key).unwrap_or_default().to_owned();
+            names.insert(number.to_owned(), word("name"));
+            let since = word("since_ms").parse().unwrap_or(0);
+            out.told.entry((word("name"), word("state"), since)).or_insert(now);
+            continue;
+        }
+        let Some(name) = names.get(number) else { continue };
+        let count = out.counts.entry((name.clone(), now as u64)).or_default();
+        let open = open.entry(name.clone()).or_default();
+        if line.contains("connection opened") {
+            match (met.insert(name.clone()), *open) {
+                (true, _) => count.first += 1,
+                (false, 0) => count.again += 1,
+                (false, _) => count.more += 1,
+            }
+            count.to_give_up += u64::from(field(&line, "give_up") == Some("true"));
+            *open += 1;
+        } else if line.contains("connection closed") {
+            count.closed += 1;
+            *open = open.saturating_sub(1);
+        } else if line.contains(" sent ") {
+            count.sent += 1;
+        } else if line.contains(" ended ") {
+            let served = field(&line, "outcome") == Some("Success");
+            *(if served { &mut count.served } else { &mut count.other }) += 1;
+        }
+    }
+    Ok(out)
+}
+
+/// When the first and the last of the gateways that were told learned of a change, and how many they were.
+#[derive(Debug, PartialEq, Serialize)]
+pub struct Learned {
+    name: String,
+    state: String,
+    since_ms: u64,
+    gateways: usize,
+    first_s: f64,
+    last_s: f64,
+}
+
+fn learned(logs: &[Log]) -> Vec<Learned> {
+    let mut times: BTreeMap<&(String, String, u64), Vec<f64>> = BTreeMap::new();
+    logs.iter().flat_map(|l| &l.told).for_each(|(change, at)| times.entry(change).or_default().push(*at));
+    let learned = times.into_iter().map(|((name, state, since_ms), at)| Learned {
+        name: name.clone(),
+        state: state.clone(),
+        since_ms: *since_ms,
+        gateways: at.len(),
+        first_s: at.iter().copied().fold(f64::INFINITY, f64::min),
+        last_s: at.iter().copied().fold(0.0, f64::max),
+    });
+    learned.collect()
+}
+
+/// What is written as JSON.
+#[derive(Serialize)]
+struct Figures {
+    seconds: BTreeMap<u64, Count>,
+    engines: BTreeMap<String, Count>,
+    learned: Vec<Learned>,
+}
+
+fn figures(logs: &[Log]) -> Figures {
+    let (mut seconds, mut engines) = (BTreeMap::<u64, Count>::new(), BTreeMap::<String, Count>::new());
+    for ((name, second), count) in logs.iter().flat_map(|l| &l.counts) {
+        seconds.entry(*second).or_default().add(count);
+        engines.entry(name.clone()).or_default().add(count);
+    }
+    Figures { seconds, engines, learned: learned(logs) }
+}
+
+fn print(what: &str, c: &Count, held: i64) {
+    let each = if c.sent > 0 { c.opened() as f64 / c.sent as f64 } else { 0.0 };
+    println!(
+        "{what:<24} {:>6} {:>6} {:>6} {:>7} {:>6} {held:>6} {:>7} {:>7} {:>6} {each:>9.2}",
+        c.first, c.again, c.more, c.to_give_up, c.closed, c.sent, c.served, c.other
+    );
+}
+
+/// Counts all logs of a folder and prints the tables.
+pub fn run(options: &Options) -> anyhow::Result<()> {
+    let figures = figures(&each(&options.logs, read)?);
+    println!(
+        "second, engine            first  again   more give up closed   held    sent  served  other each sent"
+    );
+    let mut held = 0;
+    for (second, count) in &figures.seconds {
+        held += count.opened() as i64 - count.closed as i64;
+        print(&second.to_string(), count, held);
+    }
+    for (name, count) in figures.engines.iter().filter(|_| options.each) {
+        print(name, count, count.opened() as i64 - count.closed as i64);
+    }
+    println!("engine, state, start in ms: gateways told, first and last at s");
+    for l in &figures.learned {
+        println!(
+            "{}, {}, {}: {}, {:.2}, {:.2}",
+            l.name, l.state, l.since_ms, l.gateways, l.first_s, l.last_s
+        );
+    }
+    options.output.write(&figures)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ONE: &str = r#"0.000 DEBUG wrenhatch::net::engines: engine listed engine=0 name="e1" state=Ready since_ms=0 now_us=10
+0.100 DEBUG wrenhatch::net::engines: connection opened engine=0 give_up=false now_us=100000
+0.110 DEBUG wrenhatch::net::engines: sent ticket="a" number=0 engine=0 class=0 now_us=110000
+0.200 DEBUG wrenhatch::net::engines: connection opened engine=0 give_up=false now_us=200000
+0.300 DEBUG wrenhatch::net::engines: ended ticket="a" number=0 engine=0 now_us=300000 outcome=Success
+0.900 DEBUG wrenhatch::net::pools: connection closed engine=0
+1.000 DEBUG wrenhatch::net::pools: connection closed engine=0
+1.100 DEBUG wrenhatch::net::engines: connection opened engine=0 give_up=true now_us=1100000
+1.200 DEBUG wrenhatch::net::engines: ended ticket="b" number=0 engine=0 now_us=1200000 outcome=Broken
+1.300 DEBUG wrenhatch::net::engines: engine listed engine=0 name="e1" state=Draining since_ms=0 now_us=1300000
+1.400 DEBUG wrenhatch::net::engines: connection opened engine=7 give_up=false now_us=1400000
+"#;
+    // Another gateway has met another engine first.
+    const OTHER: &str = r#"0.000 DEBUG wrenhatch::net::engines: engine listed engine=0 name="e2" state=Ready since_ms=0 now_us=10
+0.000 DEBUG wrenhatch::net::engines: engine listed engine=1 name="e1" state=Ready since_ms=0 now_us=10
+0.500 DEBUG wrenhatch::net::engines: connection opened engine=1 give_up=false now_us=500000
+1.700 DEBUG wrenhatch::net::engines: engine listed engine=1 name="e1" state=Draining since_ms=0 now_us=1700000
+"#;
+
+    #[test]
+    fn connections_and_attempts_add_up_by_name() {
+        let all = figures(&[read(ONE.as_bytes()).unwrap(), read(OTHER.as_bytes()).unwrap()]);
+        let first = Count { first: 2, more: 1, closed: 1, sent: 1, served: 1, ..Count::default() };
+        let second = Count { again: 1, to_give_up: 1, closed: 1, other: 1, ..Count::default() };
+        assert_eq!(all.seconds, BTreeMap::from([(0, first), (1, second)]));
+        let mut both = first;
+        both.add(&second);
+        assert_eq!(all.engines, BTreeMap::from([("e1".to_owned(), both)]), "none that has no name");
+    }
+
+    #[test]
+    fn it_is_told_when_the_first_and_the_last_gateway_learned() {
+        let learned = learned(&[read(ONE.as_bytes()).unwrap(), read(OTHER.as_bytes()).unwrap()]);
+        let told: Vec<_> = learned
+            .iter()
+            .map(|l| (l.name.as_str(), l.state.as_str(), l.gateways, l.first_s, l.last_s))
+            .collect();
+        let all =
+            [("e1", "Draining", 2, 1.3, 1.7), ("e1", "Ready", 2, 0.0, 0.0), ("e2", "Ready", 1, 0.0, 0.0)];
+        assert_eq!(told, all);
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,9 +1,11 @@
 //! Experiments on the gateway. Everything binds to loopback and stops by itself.
 
 mod classes;
+mod engines;
 mod fleet;
 mod helper;
 mod idle;
+mod log;
 mod memory;
 mod spread;
 
@@ -36,6 +38,8 @@
     Idle(idle::Options),
     /// What became of each class over a fleet, from its gateways' logs at debug.
     Classes(classes::Options),
+    /// What a fleet does to its engines, from its gateways' logs at debug.
+    Engines(engines::Options),
     /// Opens and holds sessions for `idle`, by commands on its standard input.
     #[command(hide = true)]
     Helper {
@@ -71,6 +75,7 @@
     match Arguments::parse().command {
         Command::Idle(options) => idle::run(&options),
         Command::Classes(options) => classes::run(&options),
+        Command::Engines(options) => engines::run(&options),
         Command::Helper { address, source, front, connections } => {
             helper::run(address, source, front, connections)
         }
