--- a/lab/src/engines.rs
+++ b/lab/src/engines.rs
@@ -1,7 +1,7 @@
 //! What a fleet does to its engines, summed over the gateways' logs at debug: connections, attempts, and when each
 //! gateway learned of a change.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::io::BufRead;
 use std::path::PathBuf;
 
@@ -73,7 +73,8 @@
     let mut out = Log::default();
     // Numbers are this gateway's own; names are the fleet's.
     let mut names: HashMap<String, String> = HashMap::new();
-    let (mut met, mut open) = (HashSet::new(), HashMap::<String, u64>::new());
+    // Connections open to each engine that there has been one to.
+    let mut open: HashMap<String, u64> = HashMap::new();
     for line in log.lines() {
         let line = line?;
         let (Some(now), Some(number)) = (at(&line), field(&line, "engine")) else { continue };
@@ -86,18 +87,17 @@
         }
         let Some(name) = names.get(number) else { continue };
         let count = out.counts.entry((name.clone(), now as u64)).or_default();
-        let open = open.entry(name.clone()).or_default();
         if line.contains("connection opened") {
-            match (met.insert(name.clone()), *open) {
-                (true, _) => count.first += 1,
-                (false, 0) => count.again += 1,
-                (false, _) => count.more += 1,
+            match open.get(name) {
+                None => count.first += 1,
+                Some(0) => count.again += 1,
+                Some(_) => count.more += 1,
             }
             count.to_give_up += u64::from(field(&line, "give_up") == Some("true"));
-            *open += 1;
+            *open.entry(name.clone()).or_default() += 1;
         } else if line.contains("connection closed") {
             count.closed += 1;
-            *open = open.saturating_sub(1);
+            open.entry(name.clone()).and_modify(|n| *n = n.saturating_sub(1));
         } else if line.contains(" sent ") {
             count.sent += 1;
         } else if line.contains(" ended ") {
