Pass the client's token on to engines

Ruled out: order and names of classes, tenants, statements (unchanged to the byte), priorities, grants. At fault: front/fields.rs, which threw the field away, and engine/http.rs post(), which had no place for it.

Now the token is read, checked for what a header can carry, kept with the request, booked, and sent with every attempt; over MySQL it is the attribute `k` of each execution, never one that a statement was prepared with.

The unit tests in http.rs and fields.rs fail without it.

--- a/gateway/src/engine/http.rs
+++ b/gateway/src/engine/http.rs
@@ -179,6 +179,8 @@
     pub grant_mb: f64,
     /// Its priority.
     pub rank: u8,
+    /// The client's token, by which engines know a repeat of the same work.
+    pub token: Option<&'a str>,
 }
 
 /// Writes the call that starts a query.
@@ -191,6 +193,9 @@
     if s.grant_mb > 0.0 {
         let _ = write!(out, "Grant-Mb: {}\r\n", s.grant_mb.ceil() as u64);
     }
+    if let Some(token) = s.token {
+        let _ = write!(out, "X-Nonce: {token}\r\n");
+    }
     let _ = write!(out, "Content-Length: {}\r\n\r\n", s.statement.len());
     out.extend(s.statement);
 }
@@ -381,6 +386,18 @@
         read(&mut text.as_bytes().to_vec(), &no_extras()).unwrap().unwrap()
     }
 
+    #[test]
+    fn a_client_s_token_goes_on_beside_its_id() {
+        let start = |token| {
+            let (ticket, class, statement) = ("9b1f03aa5c7e2d41", "batch", b"SELECT 1".as_slice());
+            let mut out = Vec::new();
+            post(&Start { ticket, class, statement, max_ms: 9, grant_mb: 0.0, rank: 1, token }, &mut out);
+            String::from_utf8(out).unwrap()
+        };
+        assert!(start(Some("16d2cf6d")).contains("\r\nX-Nonce: 16d2cf6d\r\n"));
+        assert!(!start(None).contains("X-Nonce"));
+    }
+
     #[test]
     fn answers_are_read_whole_or_not_at_all() {
         let text = b"HTTP/1.1 200 OK\r\nPage-Count: 2\r\nX-Meter: queue:3;util:0.5\r\nContent-Length: 6\r\n\r\na\tb\tc\nHTTP";
--- a/gateway/src/front/fields.rs
+++ b/gateway/src/front/fields.rs
@@ -17,6 +17,8 @@
     pub estimate_ms: Option<f64>,
     /// Estimated memory, MB.
     pub need_mb: Option<f64>,
+    /// The client's token, by which engines know a repeat of the same work.
+    pub token: Option<String>,
 }
 
 /// Why fields can't be used.
@@ -40,6 +42,9 @@
     /// An estimate is not a number.
     #[error("an estimate (h, mem) must be a number, 0 or more, and no more than any engine has")]
     BadEstimate,
+    /// A token that no header can carry.
+    #[error("the token (k) must be 1 to 128 printable characters without blanks")]
+    BadToken,
     /// No statement follows.
     #[error("no statement follows the comment")]
     NoStatement,
@@ -50,6 +55,9 @@
 /// Milliseconds on one core, or MB: more than a machine does in a month, or has.
 const MOST_ESTIMATED: f64 = 1e9;
 
+/// Bytes of a token at most.
+const LONGEST_TOKEN: usize = 128;
+
 /// Splits a text into its fields and the statement behind them.
 pub fn split(text: &[u8]) -> Result<(Fields, &[u8]), FieldError> {
     let text = text.trim_ascii_start();
@@ -75,6 +83,7 @@
             "t" => fields.tenant = Some(value.to_owned()),
             "h" => fields.estimate_ms = Some(estimate(value)?),
             "mem" => fields.need_mb = Some(estimate(value)?),
+            "k" => fields.token = Some(token(value)?),
             _ => {} // Fields of later versions.
         }
     }
@@ -99,6 +108,12 @@
     }
 }
 
+/// A client's token. It goes into a header as it is, so nothing may end that.
+pub fn token(value: &str) -> Result<String, FieldError> {
+    let good = (1..=LONGEST_TOKEN).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_graphic());
+    good.then(|| value.to_owned()).ok_or(FieldError::BadToken)
+}
+
 fn estimate(value: &str) -> Result<f64, FieldError> {
     value.parse::<f64>().ok().filter(|v| (0.0..=MOST_ESTIMATED).contains(v)).ok_or(FieldError::BadEstimate)
 }
@@ -252,6 +267,9 @@
         let error = |text: &str| split(text.as_bytes()).unwrap_err();
         assert_eq!(error("SELECT 1"), FieldError::NoComment);
         assert_eq!(error("/* c=a,i=12 */ x"), FieldError::BadId);
+        assert_eq!(error("/* c=a,k= */ x"), FieldError::BadToken);
+        assert_eq!(error("/* c=a,k=x\r\ny: z */ x"), FieldError::BadToken);
+        assert_eq!(split(b"/* c=a,k=x9 */ x").unwrap().0.token.as_deref(), Some("x9"));
         assert_eq!(error("/* c=a,d=0 */ x"), FieldError::BadWait);
         assert_eq!(error("/* c=a,d=-4 */ x"), FieldError::BadWait);
         assert_eq!(error("/* c=a,h=x */ x"), FieldError::BadEstimate);
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -390,6 +390,7 @@
             let taken = match a.name.as_slice() {
                 b"i" => fields::id(&text).map(|id| demand.fields.id = Some(id)),
                 b"d" => fields::wait(&text).map(|ms| demand.fields.wait_ms = Some(ms)),
+                b"k" => fields::token(&text).map(|token| demand.fields.token = Some(token)),
                 _ => Ok(()),
             };
             if let Err(e) = taken {
@@ -407,7 +408,7 @@
         }
         let Some(mut demand) = self.demand(text, Run::Query, out) else { return Some(Want::Invalid) };
         // Each execution has its own.
-        (demand.fields.id, demand.fields.wait_ms) = (None, None);
+        (demand.fields.id, demand.fields.wait_ms, demand.fields.token) = (None, None, None);
         let params = mysql::placeholders(&demand.statement);
         if u16::try_from(params).is_err() {
             return Some(self.invalid(
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -347,7 +347,8 @@
                 (format!("{a:08x}{b:08x}"), demand.run)
             }
         };
-        let request = Request { client: who, ticket, class, statement: demand.statement, run };
+        let request =
+            Request { client: who, ticket, class, statement: demand.statement, token: fields.token, run };
         let short = self.sessions.ledger.allows(Kind::Requests, request.bytes()).is_err();
         let late = !self.sessions.governor.in_time(now_us, work_us, deadline_us);
         if going || full || short || late {
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -250,6 +250,7 @@
                     max_ms,
                     grant_mb: memory_mb,
                     rank: priority,
+                    token: request.token.as_deref(),
                 };
                 http::post(&call, &mut start);
                 let exchange = http::Exchange::new(&request.ticket);
@@ -951,11 +952,12 @@
 
 /// A request as work for a MySQL engine; id, class and what is left of the wait go beside it as attributes.
 fn work(request: &Request, class: &str, max_ms: u64) -> mysql::Work {
-    let attributes = vec![
+    let mut attributes = vec![
         Param::text("i", &request.ticket),
         Param::text("c", class),
         Param::text("d", &max_ms.to_string()),
     ];
+    attributes.extend(request.token.as_deref().map(|token| Param::text("k", token)));
     let sql = request.statement.clone();
     match &request.run {
         Run::Execute(params) => mysql::Work::Execute(sql, params.clone(), attributes),
--- a/gateway/src/net/requests.rs
+++ b/gateway/src/net/requests.rs
@@ -13,6 +13,8 @@
     pub ticket: String,
     pub class: ClassId,
     pub statement: Vec<u8>,
+    /// The client's token, by which engines know a repeat of the same work.
+    pub token: Option<String>,
     pub run: Run,
 }
 
@@ -24,7 +26,8 @@
             Run::Simple | Run::Query => 0,
         };
         // Its copy for an attempt stands beside it until that is written.
-        size_of::<Self>() + self.ticket.len() + 2 * self.statement.len() + params
+        let token = self.token.as_ref().map_or(0, String::len);
+        size_of::<Self>() + self.ticket.len() + 2 * token + 2 * self.statement.len() + params
     }
 }
 
