--- /dev/null
+++ b/gateway/src/engine/http/tests.rs
@@ -0,0 +1,180 @@
+use quickcheck::quickcheck;
+
+use super::*;
+
+quickcheck! {
+    fn noise_never_panics(noise: Vec<u8>, head: u8) -> bool {
+        let heads = ["", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"];
+        let mut input = heads[usize::from(head) % heads.len()].as_bytes().to_vec();
+        input.extend(noise);
+        let length = input.len();
+        !matches!(read(&mut input, &no_extras()), Ok(Some(_))) || input.len() < length
+    }
+}
+
+fn no_extras() -> [String; 2] {
+    [String::new(), String::new()]
+}
+
+fn answer(text: &str) -> Response {
+    read(&mut text.as_bytes().to_vec(), &no_extras()).unwrap().unwrap()
+}
+
+#[test]
+fn a_client_s_token_goes_on_beside_its_id() {
+    let start = |token| {
+        let (ticket, class, statement) = ("9b1f03aa5c7e2d41", "batch", b"SELECT 1".as_slice());
+        let mut out = Vec::new();
+        post(&Start { ticket, class, statement, max_ms: 9, grant_mb: 0.0, rank: 1, token }, &mut out);
+        String::from_utf8(out).unwrap()
+    };
+    assert!(start(Some("16d2cf6d")).contains("\r\nX-Nonce: 16d2cf6d\r\n"));
+    assert!(!start(None).contains("X-Nonce"));
+}
+
+#[test]
+fn answers_are_read_whole_or_not_at_all() {
+    let text = b"HTTP/1.1 200 OK\r\nPage-Count: 2\r\nX-Meter: queue:3;util:0.5\r\nContent-Length: 6\r\n\r\na\tb\tc\nHTTP";
+    for cut in 0..text.len() - 4 {
+        assert_eq!(read(&mut text[..cut].to_vec(), &no_extras()), Ok(None), "{cut} bytes");
+    }
+    let mut input = text.to_vec();
+    let r = read(&mut input, &no_extras()).unwrap().unwrap();
+    assert_eq!(input, b"HTTP");
+    assert_eq!((r.status, r.page_count, r.body.as_slice()), (200, Some(2), b"a\tb\tc\n".as_slice()));
+    assert_eq!(r.report.unwrap().queue, Some(3.0));
+}
+
+#[test]
+fn chunked_bodies_are_joined() {
+    let r = answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    assert_eq!(r.body, b"abc");
+}
+
+#[test]
+fn noise_and_endless_heads_are_refused() {
+    assert_eq!(read(&mut b"220 smtp ready\r\n".to_vec(), &no_extras()), Err(NotHttp));
+    let long = format!("HTTP/1.1 200 OK\r\nX: {}", "a".repeat(MAX_ANSWER));
+    assert_eq!(read(&mut long.into_bytes(), &no_extras()), Err(NotHttp));
+}
+
+#[test]
+fn each_answer_has_its_outcome() {
+    let end = |text: &str| {
+        let mut out = Vec::new();
+        Exchange::new("aa").on_response(&mut answer(text), &mut out)
+    };
+    let empty = "Content-Length: 0\r\n\r\n";
+    assert_eq!(end(&format!("HTTP/1.1 503 x\r\nX-Shed: 1\r\n{empty}")), Step::Ended(Outcome::Overloaded));
+    assert_eq!(end(&format!("HTTP/1.1 503 x\r\n{empty}")), Step::Ended(Outcome::Failure));
+    assert_eq!(end(&format!("HTTP/1.1 504 x\r\nX-Shed: 1\r\n{empty}")), Step::Ended(Outcome::Void));
+    assert_eq!(end(&format!("HTTP/1.1 500 x\r\nX-Shed: 1\r\n{empty}")), Step::Ended(Outcome::Failure));
+    assert_eq!(end(&format!("HTTP/1.1 202 x\r\n{empty}")), Step::Asked);
+    assert_eq!(end(&format!("HTTP/1.1 404 x\r\n{empty}")), Step::Spoilt);
+    assert_eq!(end(&format!("HTTP/1.1 200 x\r\n{empty}")), Step::Spoilt, "it names no pages");
+    assert_eq!(end(&format!("HTTP/1.1 200 x\r\nPage-Count: 4000000000\r\n{empty}")), Step::Spoilt);
+}
+
+#[test]
+fn only_the_first_answer_to_the_start_proves_that_nothing_ran() {
+    let empty = "Content-Length: 0\r\n\r\n";
+    for status in [503, 504] {
+        let shed = answer(&format!("HTTP/1.1 {status} x\r\nX-Shed: 1\r\n{empty}"));
+        let mut out = Vec::new();
+        let mut e = Exchange::new("aa");
+        let later = answer(&format!("HTTP/1.1 202 x\r\n{empty}"));
+        assert_eq!(e.on_response(&mut later.clone(), &mut out), Step::Asked);
+        assert_eq!(e.on_response(&mut shed.clone(), &mut out), Step::Spoilt, "{status} on news");
+        let mut e = Exchange::new("aa");
+        e.ask_again(&mut out);
+        assert_eq!(e.on_response(&mut shed.clone(), &mut out), Step::Spoilt, "{status} on a call made again");
+        let mut e = Exchange::new("aa");
+        let page = answer("HTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 2\r\n\r\na\n");
+        assert_eq!(e.on_response(&mut page.clone(), &mut out), Step::Asked);
+        assert_eq!(e.on_response(&mut shed.clone(), &mut out), Step::Spoilt, "{status} on a page");
+    }
+}
+
+#[test]
+fn all_pages_come_before_the_end() {
+    let mut e = Exchange::new("aa");
+    let mut out = Vec::new();
+    let first = "HTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 6\r\n\r\na\tb\tc\n";
+    assert_eq!(e.on_response(&mut answer(first), &mut out), Step::Asked);
+    assert!(out.starts_with(b"GET /data/aa/1 "));
+    let second = "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 5\r\n\r\nd\t\tf\n";
+    assert_eq!(e.on_response(&mut answer(second), &mut out), Step::Ended(Outcome::Success));
+    let rows = e.rows().unwrap();
+    assert_eq!(rows.rows().count(), 2);
+    assert_eq!(rows.cells[4].as_deref(), Some(b"".as_slice()));
+}
+
+#[test]
+fn a_query_that_was_given_up_is_withdrawn_not_failed() {
+    let mut e = Exchange::new("aa");
+    e.give_up();
+    let mut out = Vec::new();
+    let empty = "Content-Length: 0\r\n\r\n";
+    assert_eq!(e.on_response(&mut answer(&format!("HTTP/1.1 202 x\r\n{empty}")), &mut out), Step::Quiet);
+    assert_eq!(out, [], "it is asked for no more");
+    let gone = answer(&format!("HTTP/1.1 500 x\r\n{empty}"));
+    assert_eq!(e.on_response(&mut gone.clone(), &mut out), Step::Ended(Outcome::Withdrawn));
+}
+
+#[test]
+fn the_report_of_the_first_page_lasts() {
+    let mut e = Exchange::new("aa");
+    let first = "HTTP/1.1 200 OK\r\nPage-Count: 2\r\nX-Meter: queue:2\r\nContent-Length: 2\r\n\r\na\n";
+    e.on_response(&mut answer(first), &mut Vec::new());
+    let second = "HTTP/1.1 200 OK\r\nPage-No: 1\r\nContent-Length: 2\r\n\r\nb\n";
+    assert_eq!(e.on_response(&mut answer(second), &mut Vec::new()), Step::Ended(Outcome::Success));
+    assert_eq!(e.report.and_then(|r| r.queue), Some(2.0));
+}
+
+#[test]
+fn answers_that_another_follows_are_passed_over() {
+    let r = answer("HTTP/1.1 103 x\r\nLink: a\r\n\r\nHTTP/1.1 102 y\r\n\r\nHTTP/1.1 202 z\r\n\r\n");
+    assert_eq!(r.status, 202);
+    assert_eq!(read(&mut b"HTTP/1.1 100 x\r\n\r\nHTTP".to_vec(), &no_extras()), Ok(None));
+}
+
+#[test]
+fn lengths_that_do_not_fit_are_refused() {
+    for lengths in ["Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: -1\r\n", ""] {
+        let text = format!("HTTP/1.1 200 x\r\n{lengths}\r\na\n");
+        assert_eq!(read(&mut text.into_bytes(), &no_extras()), Err(NotHttp), "{lengths}");
+    }
+    let huge = "HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n";
+    assert_eq!(read(&mut huge.as_bytes().to_vec(), &no_extras()), Err(NotHttp));
+}
+
+#[test]
+fn a_page_of_cut_or_uneven_rows_is_spoilt_and_can_be_asked_for_again() {
+    let page = |head: &str, body: &str| {
+        answer(&format!("HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+    };
+    let mut out = Vec::new();
+    let mut e = Exchange::new("aa");
+    for body in ["a\tb\nc\td", "a\tb\nc\n", &"a\n".repeat(MAX_PAGE)] {
+        assert_eq!(e.on_response(&mut page("Page-Count: 2", body), &mut out), Step::Spoilt);
+    }
+    assert_eq!(e.on_response(&mut page("Page-Count: 2", "a\tb\n"), &mut out), Step::Asked);
+    assert_eq!(e.on_response(&mut page("Page-No: 1", "c\n"), &mut out), Step::Spoilt, "narrower");
+    assert_eq!(e.on_response(&mut page("Page-No: 2", "c\td\n"), &mut out), Step::Spoilt, "another page");
+    out.clear();
+    e.ask_again(&mut out);
+    assert!(out.starts_with(b"GET /data/aa/1 "));
+    let last = e.on_response(&mut page("Page-No: 1", "c\td\n"), &mut out);
+    assert_eq!(last, Step::Ended(Outcome::Success));
+    assert_eq!(e.rows().unwrap().rows().count(), 2);
+}
+
+#[test]
+fn a_lost_page_is_a_failure() {
+    let mut e = Exchange::new("aa");
+    let first = "HTTP/1.1 200 OK\r\nPage-Count: 2\r\nContent-Length: 6\r\n\r\na\tb\tc\n";
+    e.on_response(&mut answer(first), &mut Vec::new());
+    let lost = "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(e.on_response(&mut answer(lost), &mut Vec::new()), Step::Ended(Outcome::Failure));
+}
--- /dev/null
+++ b/gateway/src/front/fields/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+#[test]
+fn fields_and_statement_are_split() {
+    let text = b"/* c=report,i=9b1f03aa5c7e2d41,d=1500,t=acme,h=820.0,mem=96 */ SELECT 1  ";
+    let (f, statement) = split(text).unwrap();
+    assert_eq!(statement, b"SELECT 1  ");
+    assert_eq!((f.class.as_str(), f.wait_ms), ("report", Some(1500)));
+    assert_eq!(f.id.as_deref(), Some("9b1f03aa5c7e2d41"));
+    assert_eq!((f.tenant.as_deref(), f.estimate_ms, f.need_mb), (Some("acme"), Some(820.0), Some(96.0)));
+}
+
+#[test]
+fn bad_fields_are_told_apart() {
+    let error = |text: &str| split(text.as_bytes()).unwrap_err();
+    assert_eq!(error("SELECT 1"), FieldError::NoComment);
+    assert_eq!(error("/* c=a,i=12 */ x"), FieldError::BadId);
+    assert_eq!(error("/* c=a,k= */ x"), FieldError::BadToken);
+    assert_eq!(error("/* c=a,k=x\r\ny: z */ x"), FieldError::BadToken);
+    assert_eq!(split(b"/* c=a,k=x9 */ x").unwrap().0.token.as_deref(), Some("x9"));
+    assert_eq!(error("/* c=a,d=0 */ x"), FieldError::BadWait);
+    assert_eq!(error("/* c=a,d=-4 */ x"), FieldError::BadWait);
+    assert_eq!(error("/* c=a,h=x */ x"), FieldError::BadEstimate);
+    assert_eq!(error("/* c=a,h=NaN */ x"), FieldError::BadEstimate);
+    assert_eq!(error("/* c=a,h=1e19 */ x"), FieldError::BadEstimate);
+    assert_eq!(error("/* c=a,mem=1000000000000 */ x"), FieldError::BadEstimate);
+    assert_eq!(error("/* c=a,d=86400001 */ x"), FieldError::BadWait);
+    assert_eq!(error("/* d=4 */ x"), FieldError::NoClass);
+    assert_eq!(error("/* c=a,c=b */ x"), FieldError::Malformed);
+    assert_eq!(error("/* c=a */  "), FieldError::NoStatement);
+}
+
+#[test]
+fn group_comes_from_the_schema_of_a_table_only() {
+    let group = |s: &str| table_group(s.as_bytes());
+    assert_eq!(group("SELECT day FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day"), Some(17));
+    assert_eq!(group("SELECT 'from x_1.y' FROM -- from x_2.y\n /* from x_3.y */ a_4.b"), Some(4));
+    assert_eq!(group("INSERT INTO a_5.b SELECT * FROM staging.c"), Some(5));
+    assert_eq!(group("INSERT INTO staging.c SELECT * FROM \"a_6\".b"), Some(6));
+    assert_eq!(group("SELECT q_1.x FROM staging.z JOIN a_7.b q_1 ON true"), Some(7));
+    assert_eq!(group("SELECT E'\\' from a_1.b' , $$ from a_2.b $$ FROM a_8.b"), Some(8));
+    assert_eq!(group("UPDATE db.a_9.b SET x = 1"), Some(9));
+    assert_eq!(group("SELECT 1"), None);
+    assert_eq!(group("SELECT 'unterminated FROM a_1.b"), None);
+}
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -973,28 +973,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::{self, Node};
-
-    #[test]
-    fn engines_that_have_gone_are_forgotten_and_their_numbers_not_given_out_again() {
-        let text = include_str!("../../tests/common/config.json").replace("LIST", "");
-        let config = config::read(&Node::root(&text.parse().unwrap(), "config")).unwrap();
-        let mut server = Server::new(config).unwrap();
-        let event = |n: u64, state| {
-            let (name, address) = (format!("e{n}"), ([127, 0, 0, 1], 9).into());
-            let (zone, kind) = ("z".to_owned(), "k".to_owned());
-            let entries = vec![Listed { name, address, zone, kind, cell: 0, state, since_ms: 0 }];
-            ListEvent { index: 2 * n, full: false, entries, unread: Vec::new() }
-        };
-        for n in 0..100 {
-            server.listed(&event(n, EngineState::Ready));
-            assert_eq!(server.pools.ids[&format!("e{n}")], EngineId(n as u32));
-            if n > 0 {
-                server.listed(&event(n - 1, EngineState::Gone));
-            }
-        }
-        assert_eq!((server.pools.engines.len(), server.pools.ids.len()), (1, 1));
-    }
-}
+mod tests;
