--- a/gateway/src/coordinator.rs
+++ b/gateway/src/coordinator.rs
@@ -30,6 +30,65 @@
     BadEvent(u64, crate::config::ConfigError),
 }
 
+/// When a stream that says nothing is taken for dead: by its own rhythm. Only comments tell it, as they come at
+/// regular times; events come when they come.
+#[derive(Clone, Debug)]
+pub struct Rhythm {
+    heard_us: u64,
+    /// Comments of this stream.
+    comments: u32,
+    /// The longest time between two comments, of late.
+    period_us: f64,
+    /// Times that a stream may miss a comment, this gateway's own: all streams fall silent at once, and their
+    /// gateways should not all call in the same moment.
+    missed: f64,
+}
+
+/// A comment comes each second.
+const PERIOD_US: f64 = 1e6;
+/// Silence for so many periods, and up to so much more by chance, is none that a slow machine makes.
+const MISSED: (f64, f64) = (2.5, 0.5);
+/// A stream is not waited for longer than this: what the coordinator has to tell counts as told after 7 s.
+const LONGEST_SILENCE_US: f64 = 5e6;
+/// How fast a period is forgotten that was longer than those that follow.
+const SHORTER: f64 = 0.125;
+/// How much longer a period is tried where nothing was heard within what was taken for enough.
+const SLOWER: f64 = 1.5;
+
+impl Rhythm {
+    /// Nothing has been heard yet; `chance` is one from 0 to 1.
+    pub fn new(chance: f64) -> Self {
+        Self { heard_us: 0, comments: 0, period_us: PERIOD_US, missed: MISSED.0 + MISSED.1 * chance }
+    }
+
+    /// A stream is being opened.
+    pub fn begins(&mut self, now_us: u64) {
+        (self.heard_us, self.comments) = (now_us, 0);
+    }
+
+    /// Something was read to its end: comments and nothing else, or more.
+    pub fn heard(&mut self, now_us: u64, comments: bool) {
+        let gap = now_us.saturating_sub(std::mem::replace(&mut self.heard_us, now_us)) as f64;
+        if comments {
+            self.comments += 1;
+            let less = SHORTER * (gap - self.period_us);
+            self.period_us = gap.max(self.period_us + less).max(PERIOD_US / 4.0);
+        }
+    }
+
+    /// It was silent for too long. One that had not shown its rhythm yet may only be slower than it was taken for.
+    pub fn was_silent(&mut self) {
+        if self.comments < 2 {
+            self.period_us *= SLOWER;
+        }
+    }
+
+    /// When it is dead unless something is heard before.
+    pub fn due_us(&self) -> u64 {
+        self.heard_us + (self.missed * self.period_us).min(LONGEST_SILENCE_US) as u64
+    }
+}
+
 /// What has been read of one stream.
 pub struct Stream {
     /// Bytes of an event at most.
@@ -39,13 +98,20 @@
     /// Bytes of the chunk that is being read.
     chunk: usize,
     body: Vec<u8>,
+    /// Lines that were read to their end.
+    lines: u64,
 }
 
 impl Stream {
     /// A stream to a gateway that may use so many bytes of memory.
     pub fn new(memory: usize) -> Self {
         let most = (memory / SHARE).max(LEAST_ENGINES * ENGINE_BYTES);
-        Self { most, started: false, chunked: false, chunk: 0, body: Vec::new() }
+        Self { most, started: false, chunked: false, chunk: 0, body: Vec::new(), lines: 0 }
+    }
+
+    /// Lines read to their end so far, the head being one: bytes that never end a line are no sign of life.
+    pub fn lines(&self) -> u64 {
+        self.lines
     }
 
     /// Takes what has come and adds the events that are whole to `events`, also those before an error.
@@ -56,11 +122,13 @@
         if self.body.len() + input.len() > self.most {
             return Err(StreamError::NoStream);
         }
+        let before = self.body.len();
         if self.chunked {
             self.chunks(input)?
         } else {
             self.body.append(input)
         }
+        self.lines += self.body[before..].iter().filter(|b| **b == b'\n').count() as u64;
         while let Some((end, width)) = blank_line(&self.body) {
             let block: Vec<u8> = self.body.drain(..end + width).take(end).collect();
             events.extend(event(&block)?);
@@ -80,6 +148,7 @@
                         && h.value.eq_ignore_ascii_case(b"chunked")
                 });
                 self.started = true;
+                self.lines += 1;
                 input.drain(..at);
                 Ok(true)
             }
--- a/gateway/src/coordinator/tests.rs
+++ b/gateway/src/coordinator/tests.rs
@@ -69,6 +69,52 @@
     assert!(matches!(read(8192, 1 << 20), Err(StreamError::NoStream)));
 }
 
+#[test]
+fn silence_is_told_by_the_stream_s_own_rhythm() {
+    let second = 1_000_000;
+    let patience = |rhythm: &Rhythm, heard_us: u64| rhythm.due_us() - heard_us;
+    for chance in [0.0, 1.0] {
+        let mut rhythm = Rhythm::new(chance);
+        rhythm.begins(second);
+        let first = patience(&rhythm, second);
+        assert!((2 * second..=3 * second).contains(&first), "as the protocol says: {first}");
+        // A slower one, whose first comment comes later than that: it is given longer, and then known.
+        rhythm.was_silent();
+        rhythm.begins(10 * second);
+        assert!(patience(&rhythm, 10 * second) > first);
+        for n in 1..4 {
+            rhythm.heard((10 + 3 * n) * second, true);
+        }
+        let slow = patience(&rhythm, 19 * second);
+        assert!((4 * second..=5 * second).contains(&slow), "{slow}, and never so long that 7 s are over");
+        // One that shows its rhythm is not given longer for falling silent.
+        rhythm.was_silent();
+        assert_eq!(patience(&rhythm, 19 * second), slow);
+        // Events between tell no rhythm; a faster one is learned again.
+        rhythm.begins(20 * second);
+        for n in 1..80 {
+            rhythm.heard((20 + n) * second, true);
+            rhythm.heard((20 + n) * second + 1000, false);
+        }
+        assert!(patience(&rhythm, 99 * second + 1000) <= 3 * second);
+    }
+    let due = |chance| Rhythm::new(chance).due_us();
+    assert!(due(0.0) < due(0.5) && due(0.5) < due(1.0), "each gateway has its own moment");
+}
+
+#[test]
+fn only_whole_lines_are_signs_of_life() {
+    let mut stream = Stream::new(0);
+    let mut read = |text: &str| {
+        stream.read(&mut text.as_bytes().to_vec(), &mut Vec::new()).unwrap();
+        stream.lines()
+    };
+    let lines = read("HTTP/1.1 200 OK\r\n\r\n");
+    assert_eq!(read("id: 2\ndata: {"), lines + 1);
+    assert_eq!(read("\"index\""), lines + 1);
+    assert_eq!(read(":2}\n"), lines + 2);
+}
+
 #[test]
 fn what_is_no_stream_is_told() {
     let mut input = b"HTTP/1.1 404 no\r\n\r\n".to_vec();
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -50,6 +50,8 @@
     Noted(RequestId, u32, Note),
     /// The client has left; no answer is owed.
     Left(RequestId),
+    /// The gateway ends: every request gets its answer now.
+    Closing,
 }
 
 /// What fronts and engine links are to do.
@@ -69,6 +71,8 @@
         priority: u8,
         /// When it is no longer waited for.
         until_us: u64,
+        /// Its first byte must leave before this, however long its connection takes to come up.
+        begin_by_us: u64,
     },
     /// Change the priority of an attempt that is out.
     Rank {
@@ -96,11 +100,19 @@
     /// Its own timer, and those that the module has set for it.
     plans: Vec<TimerId>,
     attempts: u32,
-    may_have_run: bool,
+    /// When the first attempt was sent that may have run.
+    may_have_run_us: Option<u64>,
     memory_mb: f64,
     priority: u8,
 }
 
+impl Open {
+    /// An attempt sent then may have run.
+    fn may_have_run(&mut self, sent_us: u64) {
+        self.may_have_run_us.get_or_insert(sent_us);
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Out {
     engine: EngineId,
@@ -121,6 +133,7 @@
     module: Gateway,
     effects: Vec<Effect>,
     max_attempts: u32,
+    resolution_us: u64,
     /// What a client hears whose engine fell silent, in seconds, where clients hear such things.
     come_back: Option<f64>,
     open: BTreeMap<RequestId, Open>,
@@ -149,6 +162,7 @@
         Ok(Self {
             effects: settings.classes.iter().map(|c| c.effect).collect(),
             max_attempts: settings.allowed.max_attempts,
+            resolution_us: micros(settings.resolution),
             come_back: settings
                 .allowed
                 .retry_after
@@ -222,7 +236,7 @@
                     deadline_us,
                     plans: vec![deadline],
                     attempts: 0,
-                    may_have_run: false,
+                    may_have_run_us: None,
                     memory_mb: 0.0,
                     priority: 1,
                 };
@@ -253,6 +267,13 @@
                     self.events.push_back(Event::Aborted(id));
                 }
             }
+            Input::Closing => {
+                let open: Vec<RequestId> = self.open.keys().copied().collect();
+                for id in open {
+                    self.events.push_back(Event::Aborted(id));
+                    self.answer_unserved(id, self.come_back, true, commands);
+                }
+            }
         }
     }
 
@@ -273,8 +294,8 @@
             if settled {
                 self.close(id);
                 commands.push(Command::Serve(id, attempt));
-            } else {
-                open.may_have_run |= !proves;
+            } else if !proves {
+                open.may_have_run(out.sent_us);
             }
         }
         self.tell_end(now_us, (id, attempt), out, outcome, settled, report);
@@ -327,7 +348,7 @@
     fn lost(&mut self, now_us: u64, id: RequestId, attempt: u32, commands: &mut Vec<Command>) {
         let Some(out) = self.take_back(id, attempt) else { return };
         if let Some(open) = self.open.get_mut(&id) {
-            open.may_have_run = true;
+            open.may_have_run(out.sent_us);
         }
         self.answer_unserved(id, self.come_back, true, commands);
         self.tell_end(now_us, (id, attempt), out, Outcome::TimedOut, true, None);
@@ -367,7 +388,7 @@
         let running = self.out.range((id, 0)..=(id, u32::MAX)).next().is_some();
         let harmless = match self.effects[open.class.0] {
             Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => !(running || open.may_have_run),
+            Effect::Keyed { .. } | Effect::Unsafe => !(running || open.may_have_run_us.is_some()),
         };
         commands.push(if refuse && harmless {
             Command::Refuse(id, retry_after.map(|s| (s * 1000.0).ceil() as u64))
@@ -449,8 +470,24 @@
                 out.timer = Some(timer);
             }
         }
-        let (memory_mb, priority) = (open.memory_mb, open.priority);
-        commands.push(Command::Start { request: id, attempt, engine, memory_mb, priority, until_us });
+        // A repeat is known as one for a while only, from when the first was sent that may have run.
+        let window_us = match (self.effects[open.class.0], open.may_have_run_us) {
+            (Effect::Keyed { window, .. }, Some(sent_us)) => {
+                (sent_us + micros(window)).saturating_sub(self.resolution_us)
+            }
+            _ => u64::MAX,
+        };
+        let begin_by_us = until_us.min(window_us);
+        let (request, memory_mb, priority) = (id, open.memory_mb, open.priority);
+        commands.push(Command::Start {
+            request,
+            attempt,
+            engine,
+            memory_mb,
+            priority,
+            until_us,
+            begin_by_us,
+        });
     }
 }
 
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -243,6 +243,62 @@
     }
 }
 
+/// Once the gateway must end, nobody waits for an engine any more; only who may have run is failed.
+#[test]
+fn all_that_is_open_gets_its_answer_when_the_gateway_closes() {
+    let mut b = Bench::new();
+    let lookup = started(&b.ask(1, LOOKUP, 3 * SECOND)).unwrap().0;
+    let load = started(&b.ask(2, LOAD, 20 * SECOND)).unwrap().0;
+    b.list(&[entry(0, EngineState::Draining), entry(1, EngineState::Draining)]);
+    assert_eq!(started(&b.ask(3, LOAD, 20 * SECOND)), None, "it is held");
+    let commands = b.turn(vec![Input::Closing]);
+    let answers: Vec<_> = commands.iter().filter(|c| answered(c).is_some()).collect();
+    assert_eq!(answers.len(), 3, "{commands:?}");
+    assert!(matches!(answers[0], Command::Refuse(id, Some(_)) if *id == lookup));
+    assert!(matches!(answers[1], Command::Fail(id) if *id == load));
+    assert!(matches!(answers[2], Command::Refuse(RequestId(3), Some(_))));
+    for out in [lookup, load] {
+        assert!(commands.contains(&Command::Stop(out, 0)), "engines are told");
+    }
+    assert_eq!(b.turn(vec![Input::Closing, Input::Left(lookup)]), []);
+    assert_eq!(b.core.open_requests(), 0);
+}
+
+/// An end and the client's, an end and the deadline, in one turn: one answer, and no attempt after it.
+#[test]
+fn ends_that_cross_in_one_turn_give_one_answer() {
+    let ended = |id, outcome| Input::Ended(id, 0, outcome, None);
+    for outcome in [Outcome::Success, Outcome::Broken, Outcome::Overloaded] {
+        for left_first in [true, false] {
+            let mut b = Bench::new();
+            let (id, ..) = started(&b.ask(1, LOOKUP, 3 * SECOND)).unwrap();
+            let mut inputs = vec![ended(id, outcome), Input::Left(id)];
+            if left_first {
+                inputs.reverse();
+            }
+            let mut commands = b.turn(inputs);
+            commands.extend(b.pass(10 * SECOND));
+            let served = outcome == Outcome::Success && !left_first;
+            let answers = commands.iter().filter(|c| answered(c).is_some()).count();
+            assert_eq!(answers, usize::from(served), "{outcome:?}, {left_first}");
+            // An attempt that was wanted before the client's end was read is taken back in the same turn.
+            let again = started(&commands);
+            assert!(again.is_none_or(|(id, n, _)| commands.contains(&Command::Stop(id, n))), "{commands:?}");
+        }
+        let mut b = Bench::new();
+        let (id, ..) = started(&b.ask(1, LOOKUP, SECOND)).unwrap();
+        b.now_us += SECOND;
+        let mut commands = b.turn(vec![ended(id, outcome)]);
+        commands.extend(b.pass(10 * SECOND));
+        assert_eq!(
+            commands.iter().filter(|c| answered(c).is_some()).count(),
+            1,
+            "{outcome:?} at the deadline"
+        );
+        assert_eq!(started(&commands), None);
+    }
+}
+
 /// Guards the sleep of an idle gateway: once all is answered, neither the core nor the module wants to be woken.
 #[test]
 fn a_core_with_nothing_asked_wants_no_turn() {
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -204,6 +204,18 @@
         self.state = State::Closed;
     }
 
+    /// Ends a session whose client sent too much behind a request that was open.
+    pub fn overrun(&mut self, out: &mut Vec<u8>) {
+        self.error(&SqlError::new(1153, "08S01", "Got too much behind a request that was open"), out);
+        self.state = State::Closed;
+    }
+
+    /// Ends a session as the gateway ends.
+    pub fn shut_down(&mut self, out: &mut Vec<u8>) {
+        self.error(&SqlError::new(1053, "08S01", "Server shutdown in progress"), out);
+        self.state = State::Closed;
+    }
+
     /// Whether its client has yet to log in.
     pub fn is_starting(&self) -> bool {
         matches!(self.state, State::Greeted | State::Switching(_))
--- a/gateway/src/front/pg.rs
+++ b/gateway/src/front/pg.rs
@@ -74,6 +74,16 @@
         self.fatal(out, "57014", "the message was not ended in time");
     }
 
+    /// Ends a session whose client sent too much behind a request that was open.
+    pub fn overrun(&mut self, out: &mut Vec<u8>) {
+        self.fatal(out, "54000", "too much was sent behind a request that was open");
+    }
+
+    /// Ends a session as the gateway ends; 57P03 says that trying again is harmless.
+    pub fn shut_down(&mut self, out: &mut Vec<u8>) {
+        self.fatal(out, "57P03", "the gateway is shutting down");
+    }
+
     /// Whether its client has yet to start it.
     pub fn is_starting(&self) -> bool {
         self.state == State::StartUp
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -49,7 +49,10 @@
         .without_time()
         .init();
     match command.as_deref() {
-        Some("serve") => serve(configuration(operator.as_deref())?),
+        Some("serve") => {
+            let signals = net::Signals::catch().map_err(|e| format!("signals: {e}"))?;
+            serve(configuration(operator.as_deref())?, signals)
+        }
         Some("check") => {
             let c = configuration(operator.as_deref())?;
             println!(
@@ -88,9 +91,9 @@
     config::from_environment(operator).map_err(|e| e.to_string())
 }
 
-fn serve(config: config::Config) -> Result<(), String> {
+fn serve(config: config::Config, signals: net::Signals) -> Result<(), String> {
     let name = config.name.clone();
-    let server = net::Server::new(config).map_err(|e| e.to_string())?;
+    let server = net::Server::new(config, signals).map_err(|e| e.to_string())?;
     let (pg, mysql) = server.addresses();
     let ops = server.ops_address().map(|a| a.to_string());
     let [listen, mysql, ops] = [pg, mysql, ops].map(|a| a.unwrap_or_else(|| "-".to_owned()));
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -20,6 +20,8 @@
 
 /// Clients beyond all places that are being told so.
 const AWAY: usize = 12;
+/// Sessions looked at in a row whose place another may have.
+const MOST_SPARED: usize = 16;
 /// Sessions closed in one turn to make memory free.
 const RELIEVED: usize = 64;
 
@@ -39,13 +41,10 @@
         let full = self.sessions.is_full();
         let short = self.sessions.ledger.allows(Kind::Sessions, Sessions::bytes_of_one()).is_err();
         if full || short {
-            match self.sessions.yields(now_us) {
-                Some(who) => {
-                    self.counters.evicted += 1;
-                    self.client_lost(who);
-                }
-                None if self.sessions.table.len() < self.sessions.most + AWAY => is_away = true,
-                None => return,
+            match self.make_room() {
+                true => {}
+                false if self.sessions.table.len() < self.sessions.most + AWAY => is_away = true,
+                false => return,
             }
         }
         if let Err(e) = doors::keep_alive(&stream, &self.config) {
@@ -92,6 +91,43 @@
         }
     }
 
+    /// Reads a session now, whether or not its turn has come.
+    pub(super) fn read_now(&mut self, who: Handle) {
+        self.sessions.table.unmark(who);
+        self.visit(Pick { who, ready_us: self.time.now_us, early: false });
+    }
+
+    /// Closes whoever has the least use for its place, so that another may have it; false if nobody yields.
+    pub(super) fn make_room(&mut self) -> bool {
+        for _ in 0..MOST_SPARED {
+            let Some(who) = self.sessions.yields(self.time.now_us) else { return false };
+            if self.close_unless_heard(who) {
+                self.counters.evicted += 1;
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Closes a session of ours to close, unless something has come over it that nobody has looked at: a request
+    /// that crosses the close would be taken and dropped, and a close over unread bytes resets the connection.
+    /// True if it is closed.
+    fn close_unless_heard(&mut self, who: Handle) -> bool {
+        let idle =
+            |s: &Sessions| s.table.used(who).is_some_and(|(u, _)| matches!(u, Use::Idle | Use::Keeping));
+        if idle(&self.sessions) {
+            self.read_now(who);
+            if let Some(live) = self.sessions.table.hot(who) {
+                if live.used() != Use::Idle && live.used() != Use::Keeping {
+                    self.sessions.table.set_use(who, live.used(), self.time.now_us);
+                    return false;
+                }
+            }
+        }
+        self.client_lost(who);
+        true
+    }
+
     fn visit(&mut self, pick: Pick) {
         let who = pick.who;
         if !self.sessions.wake(who, &self.config, self.time.now_us) {
@@ -159,6 +195,13 @@
         if conn.phase != Phase::Open || conn.output.len() > MOST_UNSENT {
             return false;
         }
+        if conn.overrun && live.open.is_none() {
+            self.counters.invalid += 1;
+            tracing::debug!(now_us = self.time.now_us, "a client sent too much behind its request");
+            live.session.overrun(&mut conn.output);
+            self.close_soon(who);
+            return false;
+        }
         match live.session.read(&mut conn.input, &mut conn.output) {
             None => return false,
             Some(Want::Done) => {}
@@ -196,7 +239,7 @@
 
     /// Closes a connection once all that was written is out and the other side has ended too, or when that
     /// takes too long.
-    fn close_soon(&mut self, who: Handle) {
+    pub(super) fn close_soon(&mut self, who: Handle) {
         let now_us = self.time.now_us;
         if let Some(live) = self.sessions.table.hot_mut(who) {
             live.conn.phase = Phase::Closing;
@@ -280,8 +323,7 @@
                 if self.time.now_us < since_us + limit_us {
                     break;
                 }
-                self.counters.idle_closed += 1;
-                self.client_lost(who);
+                self.counters.idle_closed += u64::from(self.close_unless_heard(who));
             }
         }
         self.await_idle_limit();
@@ -308,7 +350,7 @@
                     self.close_soon(who);
                     self.settle_session(who);
                 }
-                _ => self.client_lost(who),
+                _ => drop(self.close_unless_heard(who)),
             }
         }
     }
@@ -366,7 +408,7 @@
         }
         let id = self.requests.next();
         let Some(live) = self.sessions.table.hot_mut(who) else { return };
-        live.open = Some(id);
+        live.opens(id);
         // It is owed an answer: from here on its place is nobody else's.
         self.sessions.table.set_use(who, Use::Busy, now_us);
         if let Some(tenant) = tenant {
@@ -403,10 +445,13 @@
         let Some(who) = session.checked_sub(1).and_then(|index| self.sessions.table.tenant(index)) else {
             return;
         };
-        let Some(live) = self.sessions.table.hot_mut(who).filter(|live| live.secret == secret) else {
+        if self.sessions.secret_of(who) != Some(secret) {
             return;
-        };
-        if let Some(id) = live.open.take() {
+        }
+        // What it names may have come before it over the other connection and still wait for its turn there.
+        self.read_now(who);
+        let Some(live) = self.sessions.table.hot_mut(who) else { return };
+        if let Some(id) = live.closes() {
             live.session.answer(Answer::Cancelled, &mut live.conn.output);
             live.ready_us = self.time.now_us;
             self.left(id);
@@ -421,7 +466,8 @@
     }
 
     fn left(&mut self, id: RequestId) {
-        if self.close_request(id).is_some() {
+        if let Some(request) = self.close_request(id) {
+            tracing::debug!(ticket = request.ticket, now_us = self.time.now_us, "left");
             self.counters.left += 1;
             self.inputs.push(Input::Left(id));
         }
@@ -475,7 +521,8 @@
         let who = request.client;
         let Some(live) = self.sessions.table.hot_mut(who) else { return };
         if live.open == Some(id) {
-            (live.open, live.ready_us) = (None, self.time.now_us);
+            live.closes();
+            live.ready_us = self.time.now_us;
             live.session.answer(answer, &mut live.conn.output);
             self.client_messages(who);
         }
--- a/gateway/src/net/conn.rs
+++ b/gateway/src/net/conn.rs
@@ -38,6 +38,11 @@
     pub output: Vec<u8>,
     /// No more than this is read ahead.
     pub read_ahead: usize,
+    /// Something is under way for the other side, whose end must be seen whatever it sends meanwhile: what comes
+    /// beyond the read-ahead is thrown away instead of being left unread before that end.
+    pub watched: bool,
+    /// Bytes were thrown away: nothing that follows can be understood.
+    pub overrun: bool,
 }
 
 /// What reading brought.
@@ -107,6 +112,8 @@
             input: Vec::new(),
             output: Vec::new(),
             read_ahead,
+            watched: false,
+            overrun: false,
         }
     }
 
@@ -119,6 +126,7 @@
     pub fn wants_read(&self) -> bool {
         match self.phase {
             Phase::Connecting => false,
+            Phase::Open if self.watched => true,
             // Who takes no answers is asked for no more requests.
             Phase::Open => self.input.len() < self.read_ahead && self.output.len() <= MOST_UNSENT,
             Phase::Closing => true,
@@ -140,14 +148,18 @@
         let mut chunk = [0; 16 * 1024];
         let closing = self.phase == Phase::Closing;
         let mut left = if closing { MOST_DISCARDED } else { most };
-        while left > 0 && (closing || self.input.len() < self.read_ahead) {
+        while left > 0 && (closing || self.watched || self.input.len() < self.read_ahead) {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return ReadEnd::Eof,
                 Ok(n) => {
                     left = left.saturating_sub(n);
-                    if !closing {
-                        self.input.extend(&chunk[..n]);
+                    if closing {
+                        continue;
                     }
+                    let room =
+                        if self.watched { self.read_ahead.saturating_sub(self.input.len()) } else { n };
+                    self.input.extend(&chunk[..n.min(room)]);
+                    self.overrun |= n > room;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return ReadEnd::Later,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/gateway/src/net/doors.rs
+++ b/gateway/src/net/doors.rs
@@ -118,6 +118,11 @@
         self.watch(poll, NOTHING);
     }
 
+    /// Whether a newer process accepts from these queues.
+    pub fn is_handed_over(&self) -> bool {
+        self.handed_over
+    }
+
     /// The newer process has ended.
     pub fn take_back(&mut self, poll: &Poll) {
         self.handed_over = false;
@@ -152,6 +157,11 @@
     }
 }
 
+/// Whether the process, or the machine, has no descriptor left.
+pub fn is_out_of_descriptors(e: &std::io::Error) -> bool {
+    e.raw_os_error().is_some_and(|code| OUT_OF_DESCRIPTORS.contains(&code))
+}
+
 /// Listens. A shared address may be listened at by another process too.
 pub fn listener(address: SocketAddr, backlog: u32, shared: bool) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
@@ -164,34 +174,36 @@
 }
 
 impl Server {
-    /// Accepts as many as the turn can carry; the rest is told of again at the next.
-    pub(super) fn accept(&mut self, front: Front) {
+    /// Accepts as many as the turn can carry; the rest is told of again at the next. False once nobody knocks.
+    pub(super) fn accept(&mut self, front: Front) -> bool {
         for _ in 0..self.sessions.governor.accepts() {
-            let Some(listener) = self.doors.listener(front) else { return };
+            let Some(listener) = self.doors.listener(front) else { return false };
             match listener.accept() {
                 Ok((stream, from)) => {
                     self.sessions.governor.charge(Work::Accept, 1);
                     self.take_in(stream, from, front);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
                 // It was there and has gone again, as after a reset: the next one may be well.
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) if e.raw_os_error().is_some_and(|code| OUT_OF_DESCRIPTORS.contains(&code)) => {
+                Err(e) if is_out_of_descriptors(&e) => {
                     if !self.find_descriptor(front) {
-                        return;
+                        return false;
                     }
                 }
-                Err(e) => return tracing::warn!("accept: {e}"),
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    return false;
+                }
             }
         }
+        true
     }
 
     /// No descriptor is left, whatever the budget says. Whoever yields its place gives one; else the one who
     /// knocks is told off with the spare one; else the doors are shut for a moment, or the loop would spin.
     fn find_descriptor(&mut self, front: Front) -> bool {
-        if let Some(who) = self.sessions.yields(self.time.now_us) {
-            self.counters.evicted += 1;
-            self.client_lost(who);
+        if self.make_room() {
             return true;
         }
         if self.doors.tell_off(front, &super::sessions::no_place(front)) {
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -7,7 +7,7 @@
 use wrenhatch_sessions::ledger::Kind;
 use wrenhatch_sessions::wheel::TimerId;
 
-use super::conn::{Conn, Phase, ReadEnd};
+use super::conn::{Phase, ReadEnd};
 use super::poll::Interest;
 use super::pools::{Peer, Pools};
 use super::{Alarm, Request, Server};
@@ -31,6 +31,11 @@
 /// How often a call is made again whose answer was spoilt or did not come.
 const MOST_RETRIES: u32 = 4;
 
+/// How long a connection rests behind an answer before the next call is written: a second one may come some
+/// milliseconds late, and would be taken for that call's. It waits rather than that another is opened, as many of
+/// those come up late.
+const REST_US: u64 = 25_000;
+
 /// How long an answer that no longer matters is waited for, to keep its connection: asks hang for 250 ms.
 const STRAY_US: u64 = 1_000_000;
 
@@ -98,6 +103,8 @@
     wire: Wire,
     /// When the call was written whose answer is awaited.
     asked_us: u64,
+    /// The first call of its job is not written before this.
+    rests_until_us: u64,
 }
 
 impl Link {
@@ -107,6 +114,11 @@
         phase == Phase::Connecting || logging_in
     }
 
+    /// Whether its job has begun and its first call is still held back.
+    fn is_resting(&self) -> bool {
+        self.rests_until_us > self.asked_us
+    }
+
     fn tongue(&self) -> Tongue {
         match self.wire {
             Wire::Http => Tongue::Http,
@@ -128,6 +140,8 @@
     link: usize,
     course: Course,
     ticket: String,
+    /// Its first byte must leave before this.
+    begin_by_us: u64,
     /// Its MySQL connection's number at the engine, noted when it is given up: by the time the engine is told,
     /// that connection's place may be another's.
     thread: u32,
@@ -235,7 +249,7 @@
         engine: EngineId,
         memory_mb: f64,
         priority: u8,
-        until_us: u64,
+        (until_us, begin_by_us): (u64, u64),
     ) {
         let Some(request) = self.requests.open.get(&id.0) else { return self.never_sent(id, Outcome::Void) };
         let max_ms = (until_us.saturating_sub(self.time.now_us) / 1000).max(1);
@@ -267,6 +281,7 @@
                     link,
                     course,
                     ticket,
+                    begin_by_us,
                     thread: 0,
                     stopping: false,
                     booked: 0,
@@ -306,10 +321,22 @@
             let Some(Link { wire: Wire::MySql(s), .. }) = wire else { return false };
             prepared.is_some_and(|sql| s.has_prepared(sql))
         };
-        let best = idle.iter().rposition(has).or_else(|| idle.len().checked_sub(1));
+        // A second answer to the call before may be on its way, and would be taken for that to the next one.
+        let now_us = self.time.now_us;
+        let rested = |at: &usize| {
+            let job = peers[*at].as_ref().map(|p| p.link.job);
+            matches!(job, Some(Job::Idle { since_us }) if now_us >= since_us + REST_US)
+        };
+        let best =
+            idle.iter().rposition(|at| rested(at) && has(at)).or_else(|| idle.iter().rposition(rested));
+        // The first in the list is the one that has rested for longest.
+        let best = best.or_else(|| (!idle.is_empty()).then_some(0));
         match best.map(|i| idle.remove(i)) {
             Some(at) if self.is_quiet(at) => {
                 if let Some(Peer { link, .. }) = self.pools.peer(at) {
+                    if let Job::Idle { since_us } = link.job {
+                        link.rests_until_us = since_us + REST_US;
+                    }
                     link.job = job;
                 }
                 Ok(at)
@@ -349,9 +376,9 @@
         };
         let (at, key) = self.pools.place();
         let ahead = if tongue == Tongue::Http { 2 * http::MAX_ANSWER } else { 512 * 1024 };
-        match Conn::connect(&self.poll, address, key, ahead) {
+        match self.dial(address, key, ahead) {
             Ok(conn) => {
-                let link = Link { engine, job, wire, asked_us: self.time.now_us };
+                let link = Link { engine, job, wire, asked_us: self.time.now_us, rests_until_us: 0 };
                 self.pools.put(at, conn, link);
                 self.counters.engine_connects += 1;
                 let give_up = matches!(job, Job::Delete(_));
@@ -393,6 +420,9 @@
         if link.is_coming_up(peer.conn.phase) {
             return Some(link.asked_us + self.config.connect_us);
         }
+        if link.is_resting() {
+            return Some(link.rests_until_us);
+        }
         match (link.job, &link.wire) {
             (Job::Idle { since_us }, _) => Some(since_us + self.config.keepalive_us * 6 / 10),
             (Job::Attempt(_), Wire::Http) => Some(link.asked_us + ANSWER_US + 1),
@@ -429,13 +459,14 @@
         };
         let late = self.link_due_us(peer).is_some_and(|due_us| due_us <= now_us);
         let coming = peer.link.is_coming_up(peer.conn.phase);
-        let (job, engine) = (peer.link.job, peer.link.engine);
+        let (job, engine, resting) = (peer.link.job, peer.link.engine, peer.link.is_resting());
         if let Some(peer) = self.pools.peer(at) {
             peer.timer = None;
         }
         self.pools.dirty.push(at);
         match job {
             _ if !late => {}
+            _ if resting => self.post_if_up(at),
             _ if coming => self.engine_gone(at, End::Late),
             Job::Idle { .. } => {
                 if let Some(e) = self.pools.engines.get_mut(&engine) {
@@ -505,12 +536,15 @@
         }
     }
 
-    fn may_send_to(&self, engine: EngineId) -> bool {
-        self.pools.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready)
+    /// Whether the first byte of an attempt may still leave, which is asked when it would: while its connection
+    /// came up the engine may have been said to drain, the client may have left, the time for it may be over.
+    fn may_begin(&self, id: AttemptId, engine: EngineId) -> bool {
+        let ready = self.pools.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready);
+        let in_time = self.pools.attempts.get(&id).is_some_and(|a| self.time.now_us < a.begin_by_us);
+        ready && in_time && self.requests.open.contains_key(&id.0)
     }
 
-    /// Writes what a connection was opened for once it is up. An attempt is not sent where its engine drains
-    /// or has gone since.
+    /// Writes what a connection was opened for once it is up.
     fn post_if_up(&mut self, at: usize) {
         self.pools.dirty.push(at);
         let now_us = self.time.now_us;
@@ -518,12 +552,11 @@
         let link = &mut peer.link;
         let (engine, out) = (link.engine, &mut peer.conn.output);
         link.asked_us = now_us;
-        if link.is_coming_up(peer.conn.phase) {
+        if link.is_coming_up(peer.conn.phase) || link.is_resting() {
             return;
         }
         match link.job {
             Job::Attempt(id) => {
-                let ready = self.pools.engines.get(&engine).is_some_and(|e| e.state == EngineState::Ready);
                 let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
                 if matches!(attempt.course, Course::Http { start: None, .. }) {
                     // It was sent long ago; news of it may be asked for wherever the engine stands.
@@ -532,10 +565,13 @@
                     }
                     return;
                 }
-                if !ready {
+                if !self.may_begin(id, engine) {
                     self.release(at);
                     return self.end_attempt(id, Outcome::Void, None);
                 }
+                let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
+                let Some(peer) = self.pools.peers.get_mut(at).and_then(Option::as_mut) else { return };
+                let (link, out) = (&mut peer.link, &mut peer.conn.output);
                 self.counters.sent += 1;
                 let class = self.requests.open.get(&id.0).map(|r| r.class);
                 if let Some(class) = class {
@@ -603,6 +639,10 @@
             if conn.input.is_empty() {
                 break;
             }
+            if link.is_resting() {
+                tracing::debug!(engine = link.engine.0, "a second answer has come late");
+                return self.engine_gone(at, End::Broken);
+            }
             let read = match &mut link.wire {
                 Wire::Http => match http::read(&mut conn.input, &self.names.report_extras) {
                     Ok(None) => break,
@@ -712,7 +752,7 @@
             (mysql::Event::Up, Job::Attempt(_) | Job::Delete(_)) => self.post_if_up(at),
             (mysql::Event::Up, Job::Idle { .. } | Job::Stray { .. }) => self.release(at),
             (mysql::Event::Prepared, Job::Attempt(id)) => {
-                if !self.may_send_to(engine) {
+                if !self.may_begin(id, engine) {
                     // It was prepared there and nothing more: it never ran.
                     self.pools.close(&self.poll, &mut self.timers, at);
                     return self.end_attempt(id, Outcome::Void, None);
--- a/gateway/src/net/engines/tests.rs
+++ b/gateway/src/net/engines/tests.rs
@@ -5,7 +5,7 @@
 fn engines_that_have_gone_are_forgotten_and_their_numbers_not_given_out_again() {
     let text = include_str!("../../../tests/common/config.json").replace("LIST", "");
     let config = config::read(&Node::root(&text.parse().unwrap(), "config")).unwrap();
-    let mut server = Server::new(config).unwrap();
+    let mut server = Server::new(config, crate::net::Signals::catch().unwrap()).unwrap();
     let event = |n: u64, state| {
         let (name, address) = (format!("e{n}"), ([127, 0, 0, 1], 9).into());
         let (zone, kind) = ("z".to_owned(), "k".to_owned());
--- a/gateway/src/net/feed.rs
+++ b/gateway/src/net/feed.rs
@@ -8,12 +8,18 @@
 use super::poll::Interest;
 use super::{Alarm, FEED, Server};
 use crate::config::ListEvent;
-use crate::coordinator;
+use crate::coordinator::{self, Rhythm};
 
-/// A comment comes each second; a stream without one for this long is dead.
-const SILENCE_US: u64 = 2_500_000;
-/// Between two tries to open the stream.
+/// Between two tries to open the stream, give or take a quarter: all gateways lose theirs in the same moment.
 const RETRY_US: u64 = 200_000;
+/// A connection that is not up within this is tried anew: one that was begun while the network was cut may come up
+/// long after that has healed.
+const CONNECT_US: u64 = 1_000_000;
+/// A stream that had been up for longer is opened again within this, each gateway at a moment of its own. Drains may
+/// be told meanwhile, so it is short.
+const SPREAD_US: u64 = 100_000;
+/// Events kept while one before them is asked for again.
+const MOST_AHEAD: usize = 1024;
 
 /// Where the stream stands.
 pub struct Feed {
@@ -21,22 +27,69 @@
     up: Option<(Conn, coordinator::Stream)>,
     /// Tells this stream from others before it, for the poller.
     serial: u32,
-    opened_us: Option<u64>,
-    heard_us: u64,
+    rhythm: Rhythm,
+    opened_us: u64,
+    /// When it may be opened again.
+    again_us: u64,
     /// Rings when the stream must be opened, or when it has been silent for too long.
     timer: Option<TimerId>,
     /// The event that could not be read when it came last.
     unreadable: u64,
+    /// The event before which others were missing when it came last: they are asked for again, once.
+    after_gap: u64,
+    /// What has come since they were asked for, up to that event: told bit by bit, an older word on an engine would
+    /// count for a moment though a newer one is known.
+    ahead: Vec<ListEvent>,
 }
 
 impl Feed {
-    pub(super) fn new(last: u64) -> Self {
-        Self { last, up: None, serial: 0, opened_us: None, heard_us: 0, timer: None, unreadable: 0 }
+    /// A stream behind event `last`; `chance`, from 0 to 1, is this gateway's own.
+    pub(super) fn new(last: u64, chance: f64) -> Self {
+        Self {
+            last,
+            up: None,
+            serial: 0,
+            rhythm: Rhythm::new(chance),
+            opened_us: 0,
+            again_us: 0,
+            timer: None,
+            unreadable: 0,
+            after_gap: 0,
+            ahead: Vec::new(),
+        }
     }
 
     fn key(&self) -> u64 {
         FEED | u64::from(self.serial)
     }
+
+    /// When something must have happened: it must be up, something heard, or it may be opened again.
+    fn due_us(&self) -> u64 {
+        match &self.up {
+            Some((conn, _)) if conn.phase == Phase::Connecting => self.opened_us + CONNECT_US,
+            Some(_) => self.rhythm.due_us(),
+            None => self.again_us,
+        }
+    }
+
+    /// Takes an event in its turn; what is to be listed now, in order. `Err`: events before it are missing.
+    fn take(&mut self, event: ListEvent) -> Result<Vec<ListEvent>, ()> {
+        if event.index <= self.last {
+            // It comes twice, as events may round a broken stream.
+            return Ok(Vec::new());
+        }
+        if event.index > self.last + 1 && !event.full && self.after_gap != event.index {
+            self.after_gap = event.index;
+            self.ahead.clear();
+            return Err(());
+        }
+        self.last = event.index;
+        self.ahead.push(event);
+        if self.last < self.after_gap && self.ahead.len() < MOST_AHEAD {
+            return Ok(Vec::new());
+        }
+        Ok(std::mem::take(&mut self.ahead))
+    }
 }
 
 impl Server {
@@ -44,24 +97,30 @@
     pub(super) fn look_at_feed(&mut self) {
         let now_us = self.time.now_us;
         if self.feed.up.is_some() {
-            if now_us.saturating_sub(self.feed.heard_us) <= SILENCE_US {
+            if now_us < self.feed.due_us() {
                 return self.await_feed();
             }
             tracing::warn!("the coordinator is silent");
+            if self.feed.up.as_ref().is_some_and(|(_, stream)| stream.lines() > 0) {
+                self.feed.rhythm.was_silent();
+            }
             self.close_feed();
+            // Its silence was noticed at a time of this gateway's own.
+            self.feed.again_us = now_us;
         }
         let Some(address) = self.config.coordinator else { return };
         // A coordinator that ends its streams at once is not asked without a pause.
-        if self.feed.opened_us.is_some_and(|at| now_us < at + RETRY_US) {
+        if now_us < self.feed.again_us {
             return self.await_feed();
         }
-        self.feed.opened_us = Some(now_us);
+        self.pause_feed();
         self.feed.serial = self.feed.serial.wrapping_add(1);
-        match Conn::connect(&self.poll, address, self.feed.key(), 1 << 20) {
+        match self.dial(address, self.feed.key(), 1 << 20) {
             Ok(mut conn) => {
                 coordinator::open(self.feed.last, &mut conn.output);
                 self.feed.up = Some((conn, coordinator::Stream::new(self.config.memory)));
-                self.feed.heard_us = now_us;
+                self.feed.rhythm.begins(now_us);
+                self.feed.opened_us = now_us;
                 self.counters.list_connects += 1;
             }
             Err(e) => tracing::warn!("coordinator at {address}: {e}"),
@@ -69,12 +128,15 @@
         self.await_feed();
     }
 
+    /// The stream is not opened again before a pause is over.
+    fn pause_feed(&mut self) {
+        let pause_us = RETRY_US as f64 * (0.75 + 0.5 * self.chance());
+        self.feed.again_us = self.time.now_us + pause_us as u64;
+    }
+
     /// Sets the timer for what is due next.
     fn await_feed(&mut self) {
-        let due_us = match (&self.feed.up, self.feed.opened_us) {
-            (Some(_), _) => self.feed.heard_us + SILENCE_US + 1,
-            (None, opened) => opened.map_or(self.time.now_us, |at| at + RETRY_US),
-        };
+        let due_us = self.feed.due_us();
         if !self.feed.timer.is_some_and(|timer| self.timers.rearm(timer, due_us)) {
             self.feed.timer = Some(self.timers.arm(due_us, Alarm::Feed));
         }
@@ -86,18 +148,25 @@
             return;
         }
         self.close_feed();
-        self.feed.opened_us = None;
+        self.feed.again_us = 0;
         self.look_at_feed();
     }
 
-    /// Takes in an event, unless it is old: some come twice, as they may round a broken stream.
+    /// Takes in an event that the configuration holds, unless it is old.
     pub(super) fn list_event(&mut self, event: &ListEvent) {
         if event.index > self.feed.last {
+            self.list_ahead();
             self.feed.last = event.index;
             self.listed(event);
         }
     }
 
+    /// Takes in what was kept for events before it that don't come.
+    fn list_ahead(&mut self) {
+        let ahead = std::mem::take(&mut self.feed.ahead);
+        ahead.iter().for_each(|event| self.listed(event));
+    }
+
     pub(super) fn feed_ready(&mut self, key: u64, interest: Interest) {
         if key != self.feed.key() {
             return;
@@ -110,7 +179,10 @@
             if conn.finish_connect().is_err() {
                 return self.feed_lost();
             }
+            self.feed.rhythm.begins(self.time.now_us);
+            self.await_feed();
         }
+        let Some((conn, _)) = &mut self.feed.up else { return };
         if interest.read {
             if conn.is_cut_off() {
                 return self.feed_lost();
@@ -131,19 +203,36 @@
     }
 
     fn feed_read(&mut self, end: ReadEnd) {
-        self.feed.heard_us = self.time.now_us;
+        let now_us = self.time.now_us;
         let Some((conn, stream)) = &mut self.feed.up else { return };
-        let mut events = Vec::new();
+        let (mut events, before) = (Vec::new(), stream.lines());
         let read = stream.read(&mut conn.input, &mut events);
-        for event in &events {
+        if stream.lines() > before {
+            self.feed.rhythm.heard(now_us, events.is_empty() && before > 0);
+        }
+        for event in events {
             // The same as for one of which nothing can be read; meanwhile its good part counts.
             if !event.unread.is_empty() && event.index > self.feed.last && self.feed.unreadable != event.index
             {
                 self.feed.unreadable = event.index;
-                self.listed(event);
+                self.listed(&event);
                 return self.feed_lost();
             }
-            self.list_event(event);
+            let index = event.index;
+            match self.feed.take(event) {
+                Ok(listed) => listed.iter().for_each(|event| self.listed(event)),
+                Err(()) => {
+                    tracing::warn!(
+                        index,
+                        last = self.feed.last,
+                        "events of the list are missing: asking again"
+                    );
+                    self.close_feed();
+                    // Drains may be among them, for which the time runs.
+                    self.feed.again_us = now_us;
+                    return self.await_feed();
+                }
+            }
         }
         if let Err(e) = read {
             tracing::warn!("{e}");
@@ -167,10 +256,18 @@
         if let Some((conn, _)) = self.feed.up.take() {
             conn.close(&self.poll);
         }
+        self.list_ahead();
+    }
+
+    fn chance(&mut self) -> f64 {
+        f64::from(self.sessions.secret()) / f64::from(u32::MAX)
     }
 
+    /// The stream has ended or broken. One that had just been opened is opened again after a pause.
     fn feed_lost(&mut self) {
         self.close_feed();
+        let spread_us = (SPREAD_US as f64 * self.chance()) as u64;
+        self.feed.again_us = self.feed.again_us.max(self.time.now_us + spread_us);
         self.await_feed();
     }
 }
--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -348,7 +348,7 @@
         let peer = self.family.peers.remove(at);
         self.poll.remove(&peer.stream);
         // Whoever had taken this one's place, and the path to it, has ended first: all is as it was.
-        if peer.role == Role::Taker && self.time.stopping_since.is_none() && !self.family.is_followed() {
+        if peer.role == Role::Taker && !self.shutdown.has_begun() && !self.family.is_followed() {
             tracing::warn!("the newer process has ended: taking clients again");
             self.doors.take_back(&self.poll);
             self.family.listen(&self.poll);
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -17,6 +17,7 @@
 mod reload;
 mod requests;
 mod sessions;
+mod shutdown;
 
 pub use sessions::{PARKED_BYTES, SESSION_BYTES, most_clients as most_sessions};
 
@@ -36,6 +37,7 @@
 use crate::figures::Figures;
 use crate::lateness::Lateness;
 use crate::roster::Roster;
+use conn::Conn;
 use doors::{Doors, Front};
 use poll::{Interest, Poll, Told};
 use requests::{Request, Requests};
@@ -56,9 +58,6 @@
 const LINK: u64 = 2 << 62;
 const FEED: u64 = 3 << 62;
 
-/// How long new work is still taken after SIGTERM, in microseconds.
-const GOING_US: u64 = 700_000;
-
 /// Descriptors beside connections: listeners, poller, signals, standard streams, one being accepted, the spare.
 pub const OWN_DESCRIPTORS: usize = 32;
 
@@ -108,7 +107,6 @@
     clock: Instant,
     now_us: u64,
     unix_offset_us: i128,
-    stopping_since: Option<u64>,
 }
 
 /// The running gateway.
@@ -130,12 +128,14 @@
     family: handover::Family,
     roster: Roster,
     figures: Figures,
+    shutdown: shutdown::Shutdown,
+    signals: Signals,
     inputs: Vec<Input>,
 }
 
 impl Server {
     /// Listens and takes in the list of engines known so far.
-    pub fn new(mut config: Config) -> Result<Self, ServeError> {
+    pub fn new(mut config: Config, signals: Signals) -> Result<Self, ServeError> {
         let poll = Poll::new()?;
         let mut inheritance = handover::inherit(&config);
         let left = inheritance.as_mut().map(|i| std::mem::take(&mut i.listeners)).unwrap_or_default();
@@ -153,7 +153,6 @@
                 clock: Instant::now(),
                 now_us: 0,
                 unix_offset_us: i128::try_from(unix.as_micros()).unwrap_or(0),
-                stopping_since: None,
             },
             timers: Wheel::new(),
             lateness: Lateness::default(),
@@ -161,11 +160,13 @@
             sessions: Sessions::new(&config),
             requests: Requests::default(),
             pools: pools::Pools::default(),
-            feed: feed::Feed::new(last),
+            feed: feed::Feed::new(last, config.seed as u32 as f64 / f64::from(u32::MAX)),
             ops,
             family: handover::Family::default(),
             roster: Roster::new(config.memory),
             figures,
+            shutdown: shutdown::Shutdown::new(&config.settings),
+            signals,
             inputs: Vec::new(),
             config,
         };
@@ -194,10 +195,9 @@
     /// Serves until SIGTERM has come and all that was taken is answered. SIGUSR1 prints the counters, SIGHUP
     /// reads the configuration's file again.
     pub fn run(mut self) -> Result<Counters, ServeError> {
-        let term = signal_pipe(signal_hook::consts::SIGTERM)?;
-        let print = signal_pipe(signal_hook::consts::SIGUSR1)?;
-        let reload = signal_pipe(signal_hook::consts::SIGHUP)?;
-        for (pipe, key) in [(&term, TERM), (&print, PRINT), (&reload, RELOAD)] {
+        for (pipe, key) in
+            [(&self.signals.term, TERM), (&self.signals.print, PRINT), (&self.signals.reload, RELOAD)]
+        {
             self.poll.add(pipe, key, Interest { read: true, write: false }, Told::Always)?;
         }
         let mut ready = Vec::new();
@@ -212,17 +212,17 @@
                     (PG_LISTENER, _) => doors[0] = true,
                     (MYSQL_LISTENER, _) => doors[1] = true,
                     (TERM, _) => {
-                        drain(&term);
+                        drain(&self.signals.term);
                         self.stop_taking();
                     }
                     (OPS_LISTENER, _) => self.accept_callers(),
                     (HANDOVER_LISTENER, _) => self.accept_peers(),
                     (PRINT, _) => {
-                        drain(&print);
+                        drain(&self.signals.print);
                         self.print();
                     }
                     (RELOAD, _) => {
-                        drain(&reload);
+                        drain(&self.signals.reload);
                         self.reload(0);
                     }
                     (_, LINK) => {
@@ -249,21 +249,13 @@
             }
             self.read_sessions();
             self.turn();
-            if self.is_done() {
+            if self.has_ended() {
                 self.print();
                 return Ok(self.counters);
             }
         }
     }
 
-    fn stop_taking(&mut self) {
-        if self.time.stopping_since.is_none() {
-            self.time.stopping_since = Some(self.time.now_us);
-            self.timers.arm(self.time.now_us + GOING_US, Alarm::Going);
-        }
-        tracing::info!("SIGTERM: taking for 0.7 s more");
-    }
-
     fn print(&self) {
         tracing::info!(
             counters = %self.counters,
@@ -297,28 +289,23 @@
     fn timeout(&mut self) -> Option<Duration> {
         let now_us = self.time.clock.elapsed().as_micros() as u64;
         self.sessions.governor.end_turn(now_us.saturating_sub(self.time.now_us));
-        if !self.inputs.is_empty() || self.sessions.governor.waiting() > 0 {
+        let unsettled = !self.sessions.dirty.is_empty() || !self.pools.dirty.is_empty();
+        if unsettled || !self.inputs.is_empty() || self.sessions.governor.waiting() > 0 {
             return Some(Duration::ZERO);
         }
         let next_us = [self.timers.next_us(), self.core.next_alarm_us()].into_iter().flatten().min()?;
         Some(Duration::from_micros(next_us.saturating_sub(now_us)))
     }
 
-    fn is_going(&self) -> bool {
-        self.time.stopping_since.is_some_and(|at| self.time.now_us >= at + GOING_US)
-    }
-
-    /// After the time for taking, all that was taken is finished and written out.
-    fn is_done(&mut self) -> bool {
-        if !self.is_going() {
-            return false;
+    /// Opens a connection. Where no descriptor is left for it, whatever the budget says, a client that is idle
+    /// yields its own: what has been taken is worth more than who may ask some day.
+    fn dial(&mut self, address: SocketAddr, key: u64, ahead: usize) -> io::Result<Conn> {
+        match Conn::connect(&self.poll, address, key, ahead) {
+            Err(e) if doors::is_out_of_descriptors(&e) && self.make_room() => {
+                Conn::connect(&self.poll, address, key, ahead)
+            }
+            other => other,
         }
-        self.doors.close(&self.poll);
-        // Attempts that were given up are still told so at their engines.
-        self.requests.open.is_empty()
-            && self.inputs.is_empty()
-            && !self.sessions.is_writing()
-            && !self.ops.is_answering()
     }
 
     fn ring(&mut self) {
@@ -334,6 +321,7 @@
                 Alarm::Reload(failures) => self.reload(failures),
                 Alarm::Doors => self.doors.resume(&self.poll),
                 Alarm::Callers => self.callers_late(),
+                // The loop wakes up, and looks how far the end has come.
                 Alarm::Going => {}
             }
         }
@@ -341,8 +329,8 @@
 
     fn carry_out(&mut self, command: Command) {
         match command {
-            Command::Start { request, attempt, engine, memory_mb, priority, until_us } => {
-                self.start((request, attempt), engine, memory_mb, priority, until_us);
+            Command::Start { request, attempt, engine, memory_mb, priority, until_us, begin_by_us } => {
+                self.start((request, attempt), engine, memory_mb, priority, (until_us, begin_by_us));
             }
             Command::Rank { request, attempt, priority } => self.rank((request, attempt), priority),
             Command::Stop(request, attempt) => self.stop((request, attempt)),
@@ -351,6 +339,25 @@
     }
 }
 
+/// Where signals are told of. They are caught before anything else is done: SIGHUP to one that is just starting
+/// would end it, as would SIGTERM, with clients in the queue of its listener.
+pub struct Signals {
+    term: UnixStream,
+    print: UnixStream,
+    reload: UnixStream,
+}
+
+impl Signals {
+    /// Catches SIGTERM, SIGUSR1 and SIGHUP from here on.
+    ///
+    /// # Errors
+    /// No descriptor, or the system refuses.
+    pub fn catch() -> io::Result<Self> {
+        use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
+        Ok(Self { term: signal_pipe(SIGTERM)?, print: signal_pipe(SIGUSR1)?, reload: signal_pipe(SIGHUP)? })
+    }
+}
+
 fn signal_pipe(signal: i32) -> io::Result<UnixStream> {
     let (read, write) = UnixStream::pair()?;
     read.set_nonblocking(true)?;
--- a/gateway/src/net/ops.rs
+++ b/gateway/src/net/ops.rs
@@ -132,7 +132,7 @@
 
     fn called(&mut self, call: Call) -> Result<String, No> {
         match call {
-            Call::Status if self.time.stopping_since.is_some() => Err(No::Leaving),
+            Call::Status if self.shutdown.has_begun() => Err(No::Leaving),
             Call::Status => Ok("ready\n".to_owned()),
             Call::Metrics => {
                 let now = Now {
--- a/gateway/src/net/reload.rs
+++ b/gateway/src/net/reload.rs
@@ -17,6 +17,7 @@
             Ok(fresh) => {
                 tracing::info!(coordinator = ?fresh.coordinator, "configuration read again");
                 self.counters.reloads += 1;
+                self.tell_differences(&fresh);
                 fresh.known.1.iter().for_each(|event| self.list_event(event));
                 match fresh.coordinator {
                     Some(to) => self.move_feed(to),
@@ -30,4 +31,23 @@
             Err(e) => tracing::error!("configuration: {e}; the old settings are kept"),
         }
     }
+
+    /// Classes, tenants and rules stay as they were at the start: requests of them wait and run, known by what they
+    /// were called then. Operators are told in one line what a new start would change.
+    fn tell_differences(&self, fresh: &config::Config) {
+        let gone = |old: &[String], new: &[String]| -> Vec<String> {
+            old.iter().filter(|name| !new.contains(name)).cloned().collect()
+        };
+        let (old, new) = (&self.names, &fresh.names);
+        let moved = old.classes != new.classes || old.tenants != new.tenants;
+        if moved || self.config.settings != fresh.settings {
+            tracing::warn!(
+                classes_gone = ?gone(&old.classes, &new.classes),
+                classes_new = ?gone(&new.classes, &old.classes),
+                tenants_gone = ?gone(&old.tenants, &new.tenants),
+                tenants_new = ?gone(&new.tenants, &old.tenants),
+                "the settings have changed: they count from the next start of the gateway, not before"
+            );
+        }
+    }
 }
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -81,6 +81,20 @@
         }
     }
 
+    pub fn overrun(&mut self, out: &mut Vec<u8>) {
+        match self {
+            Session::Pg(s) => s.overrun(out),
+            Session::MySql(s) => s.overrun(out),
+        }
+    }
+
+    pub fn shut_down(&mut self, out: &mut Vec<u8>) {
+        match self {
+            Session::Pg(s) => s.shut_down(out),
+            Session::MySql(s) => s.shut_down(out),
+        }
+    }
+
     pub fn answer(&mut self, answer: Answer<'_>, out: &mut Vec<u8>) {
         match self {
             Session::Pg(s) => s.answer(answer, out),
@@ -156,6 +170,17 @@
         }
     }
 
+    /// A request of it is taken: from here on its end is seen whatever it sends.
+    pub fn opens(&mut self, id: RequestId) {
+        (self.open, self.conn.watched) = (Some(id), true);
+    }
+
+    /// Its request is over.
+    pub fn closes(&mut self) -> Option<RequestId> {
+        self.conn.watched = false;
+        self.open.take()
+    }
+
     /// What it is there for.
     pub fn used(&self) -> Use {
         match self.owes_us {
@@ -170,8 +195,7 @@
 
     /// Whether it would get on by itself, with what has come already or still stands in its socket.
     pub fn has_more(&self) -> bool {
-        let reads = self.conn.phase == Phase::Closing || self.open.is_none();
-        self.more && reads && self.conn.output.len() <= MOST_UNSENT
+        self.more && (self.open.is_some() || self.conn.output.len() <= MOST_UNSENT)
     }
 
     /// When it must have got on.
@@ -419,6 +443,12 @@
         self.ledger.book(Kind::Statements, parked.statement_bytes(), 0);
     }
 
+    /// What a CancelRequest for this session must carry.
+    pub fn secret_of(&self, who: Handle) -> Option<u32> {
+        let parked = || self.table.parked(who).map(|parked| parked.secret);
+        self.table.hot(who).map(|live| live.secret).or_else(parked)
+    }
+
     /// Something has happened to a session at work.
     pub fn touch(&mut self, who: Handle) {
         if let Some(live) = self.table.hot_mut(who) {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod mysql;
 pub mod pg;
+pub mod script;
 
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -436,6 +437,28 @@
         Self::launch(folder, ([127, 0, 0, 1], 0).into(), descriptors, false)
     }
 
+    /// In front of whoever these entries of the list name, with a coordinator if there is one, with the configuration
+    /// as `change` makes it and a log that tells each request.
+    pub fn scripted(
+        entries: &str,
+        coordinator: Option<SocketAddr>,
+        operator: &str,
+        descriptors: Option<u32>,
+        change: impl Fn(String) -> String,
+    ) -> Self {
+        let folder = Self::folder(&[], false, coordinator, operator);
+        let file = folder.join("config.json");
+        let list = |text: String| text.replace("\"endpoints\":[]", &format!("\"endpoints\":[{entries}]"));
+        std::fs::write(&file, change(list(std::fs::read_to_string(&file).unwrap()))).unwrap();
+        std::fs::write(folder.join("log-level"), "debug").unwrap();
+        Self::launch(folder, ([127, 0, 0, 1], 0).into(), descriptors, false)
+    }
+
+    /// Its folder.
+    pub fn path(&self) -> &std::path::Path {
+        &self.folder
+    }
+
     /// A folder with its configuration.
     fn folder(
         engines: &[&Engine],
@@ -475,7 +498,29 @@
         Self::launch(self.folder.clone(), self.pg, None, true)
     }
 
+    /// A process that has begun and waits for its configuration, which is to come through a pipe.
+    pub fn starting(entries: &str) -> Starting {
+        let folder = Self::folder(&[], false, None, "");
+        let file = folder.join("config.json");
+        let list = format!("\"endpoints\":[{entries}]");
+        let config = std::fs::read_to_string(&file).unwrap().replace("\"endpoints\":[]", &list);
+        std::fs::remove_file(&file).unwrap();
+        assert!(Command::new("mkfifo").arg(&file).status().unwrap().success());
+        let child = Self::command(&folder, ([127, 0, 0, 1], 0).into(), None, false).spawn().unwrap();
+        // It comes through once the process reads.
+        let pipe = std::fs::File::options().write(true).open(&file).unwrap();
+        // Who reads it again finds a file.
+        std::fs::remove_file(&file).unwrap();
+        std::fs::write(&file, &config).unwrap();
+        Starting { child, pipe, config, folder }
+    }
+
     fn launch(folder: Arc<Folder>, listen: SocketAddr, descriptors: Option<u32>, door: bool) -> Self {
+        let child = Self::command(&folder, listen, descriptors, door).spawn().unwrap();
+        Self::serving(child, folder)
+    }
+
+    fn command(folder: &Folder, listen: SocketAddr, descriptors: Option<u32>, door: bool) -> Command {
         let program = env!("CARGO_BIN_EXE_wrenhatch");
         let mut command = match descriptors {
             None => Command::new(program),
@@ -486,10 +531,17 @@
             }
         };
         command.arg("serve").env("LB_CONFIG", folder.join("config.json")).env("LB_NAME", "t");
-        command.env("TMPDIR", &**folder.as_ref()).env("LB_OPS", if door { "127.0.0.1:0" } else { "" });
+        command.env("TMPDIR", &**folder).env("LB_OPS", if door { "127.0.0.1:0" } else { "" });
         command.env("LB_LISTEN", listen.to_string()).stderr(Stdio::piped()).stdout(Stdio::null());
         command.arg("--config").arg(folder.join("operator.toml"));
-        let mut child = command.spawn().unwrap();
+        if let Ok(level) = std::fs::read_to_string(folder.join("log-level")) {
+            command.arg("--log").arg(level);
+        }
+        command
+    }
+
+    /// Waits until it serves.
+    fn serving(mut child: Child, folder: Arc<Folder>) -> Self {
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let serving =
             lines.by_ref().map_while(Result::ok).find(|l| l.contains("serving")).expect("it serves");
@@ -532,7 +584,8 @@
         self.signal("-TERM");
     }
 
-    fn signal(&self, signal: &str) {
+    /// Sends a signal, named as `kill` wants it.
+    pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
@@ -555,6 +608,19 @@
         self.signal("-HUP");
     }
 
+    /// Stands still while `during` goes on: all that comes meanwhile is there at its next turn.
+    pub fn paused<T>(&self, during: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let result = during();
+        self.signal("-CONT");
+        result
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
     /// Waits until its log holds this.
     pub fn logged(&self, text: &str) {
         let began = Instant::now();
@@ -603,6 +669,28 @@
     }
 }
 
+/// A process that waits for its configuration.
+pub struct Starting {
+    child: Child,
+    pipe: std::fs::File,
+    config: String,
+    folder: Arc<Folder>,
+}
+
+impl Starting {
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// It gets its configuration, and serves.
+    pub fn go_on(mut self) -> Gateway {
+        self.pipe.write_all(self.config.as_bytes()).unwrap();
+        drop(self.pipe);
+        Gateway::serving(self.child, self.folder)
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/gateway/tests/common/pg.rs
+++ b/gateway/tests/common/pg.rs
@@ -22,6 +22,7 @@
         let mut stream = TcpStream::connect(address).unwrap();
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        stream.set_write_timeout(Some(Duration::from_secs(30))).unwrap();
         stream.write_all(&[0, 0, 0, 8, 0x04, 0xd2, 0x16, 0x2f]).unwrap();
         let mut n = [0];
         stream.read_exact(&mut n).unwrap();
@@ -55,6 +56,32 @@
         let _ = stream.read(&mut [0]);
     }
 
+    /// The same without waiting for the other side to close.
+    pub fn cancel_unread(address: SocketAddr, key: [u8; 8]) -> TcpStream {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(&[&[0, 0, 0, 16, 0x04, 0xd2, 0x16, 0x2e], &key[..]].concat()).unwrap();
+        stream
+    }
+
+    /// A connection with its start and a query behind it, none of which has been answered.
+    pub fn late(address: SocketAddr, query: &str) -> Self {
+        let mut client = Self::silent(address);
+        let body = b"\0\x03\0\0user\0app\0database\0warehouse\0\0";
+        client.raw(&[&(body.len() as u32 + 4).to_be_bytes(), &body[..]].concat());
+        client.send(query);
+        client
+    }
+
+    /// The code of the error that such a connection gets, behind its start or in place of it.
+    pub fn late_answer(&mut self) -> String {
+        loop {
+            let (kind, body) = self.message();
+            if kind == b'E' {
+                return error(&body).0;
+            }
+        }
+    }
+
     /// A connection on which nothing has been said.
     pub fn silent(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).unwrap();
@@ -102,6 +129,21 @@
         self.stream.read(&mut [0]).is_ok_and(|n| n == 0)
     }
 
+    /// Ends this side; the other may still be read.
+    pub fn end_writing(&mut self) {
+        self.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    /// Writes as much as the connection takes of bytes that may not be wanted.
+    pub fn flood(&mut self, bytes: usize) -> bool {
+        self.stream.write_all(&vec![b'x'; bytes]).is_ok()
+    }
+
     pub fn raw(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
--- /dev/null
+++ b/gateway/tests/common/script.rs
@@ -0,0 +1,220 @@
+//! Peers that do nothing by themselves: a test says what they send and when, so that the order of two events is the
+//! test's, not the machine's.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+
+/// Far more than anything here takes.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Somebody who listens: an engine, or a coordinator.
+pub struct Peer {
+    pub name: String,
+    pub address: SocketAddr,
+    listener: TcpListener,
+    crowd: Vec<TcpStream>,
+}
+
+impl Peer {
+    pub fn new(name: &str) -> Self {
+        Self::listen(name, 128)
+    }
+
+    /// One whose next connection does not come up: its queue is full until [`Peer::let_in`].
+    pub fn shut(name: &str) -> Self {
+        let mut peer = Self::listen(name, 0);
+        // One waits in a queue of none; the kernel drops what comes behind it, to be sent again a second later.
+        peer.crowd.push(TcpStream::connect(peer.address).unwrap());
+        peer
+    }
+
+    /// One where another has been.
+    pub fn at(name: &str, address: SocketAddr) -> Self {
+        Self::listen_at(name, address, 128)
+    }
+
+    fn listen(name: &str, backlog: i32) -> Self {
+        Self::listen_at(name, ([127, 0, 0, 1], 0).into(), backlog)
+    }
+
+    fn listen_at(name: &str, address: SocketAddr, backlog: i32) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+        socket.set_reuse_address(true).unwrap();
+        socket.bind(&address.into()).unwrap();
+        socket.listen(backlog).unwrap();
+        let listener: TcpListener = socket.into();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        Self { name: name.to_owned(), address, listener, crowd: Vec::new() }
+    }
+
+    /// Lets connections come up from here on.
+    pub fn let_in(&mut self) {
+        for _ in self.crowd.drain(..) {
+            drop(accept(&self.listener));
+        }
+    }
+
+    /// Its entry in the list.
+    pub fn entry(&self, status: &str) -> String {
+        format!(
+            "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"z\",\"type\":\"k\",\"group\":0,\"status\":\"{status}\",\"weight\":1,\"since_ms\":0}}",
+            self.name, self.address
+        )
+    }
+
+    /// The next connection.
+    pub fn accept(&self) -> Wire {
+        Wire::new(accept(&self.listener))
+    }
+
+    /// Whether nobody waits to be accepted.
+    pub fn is_left_alone(&self) -> bool {
+        matches!(self.listener.accept(), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// The next stream of the list, as a coordinator, and behind which event it is asked for.
+    pub fn watch(&self) -> (Wire, u64) {
+        let mut wire = self.accept();
+        let call = wire.call();
+        assert_eq!((call.verb.as_str(), call.path.as_str()), ("GET", "/v2/stream"));
+        (wire, call.headers["last-event-id"].parse().unwrap())
+    }
+}
+
+fn accept(listener: &TcpListener) -> TcpStream {
+    let began = Instant::now();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                return stream;
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => panic!("{e}"),
+        }
+        assert!(began.elapsed() < PATIENCE, "nobody connects");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// A call as it came.
+#[derive(Debug)]
+pub struct Call {
+    pub verb: String,
+    pub path: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    pub fn ticket(&self) -> &str {
+        &self.headers["x-ticket"]
+    }
+}
+
+/// A connection whose other end is the gateway's.
+pub struct Wire {
+    reader: BufReader<TcpStream>,
+}
+
+impl Wire {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self { reader: BufReader::new(stream) }
+    }
+
+    /// The next call, whole; `None` once the other side has ended.
+    pub fn next_call(&mut self) -> Option<Call> {
+        let mut line = String::new();
+        if self.reader.read_line(&mut line).unwrap_or(0) == 0 {
+            return None;
+        }
+        let mut words = line.split(' ').map(str::to_owned);
+        let (verb, path) = (words.next().unwrap(), words.next().unwrap());
+        let mut headers = HashMap::new();
+        loop {
+            let mut header = String::new();
+            self.reader.read_line(&mut header).unwrap();
+            let Some((name, value)) = header.trim_end().split_once(": ") else { break };
+            headers.insert(name.to_ascii_lowercase(), value.to_owned());
+        }
+        let length = headers.get("content-length").map_or(0, |l| l.parse().unwrap());
+        let mut body = vec![0; length];
+        self.reader.read_exact(&mut body).unwrap();
+        Some(Call { verb, path, headers, body })
+    }
+
+    pub fn call(&mut self) -> Call {
+        self.next_call().expect("a call")
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.reader.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The head of a stream of the list.
+    pub fn stream(&mut self) {
+        self.say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+    }
+
+    /// An event of the list that changes these entries.
+    pub fn event(&mut self, id: u64, entries: &str) {
+        self.say(&format!("id: {id}\ndata: {}\n\n", super::Coordinator::change(id as usize, entries)));
+    }
+
+    /// One row on one page, the end of a query.
+    pub fn row(&mut self, cell: &str) {
+        self.say(&row(cell));
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        let stream = self.reader.into_inner();
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    pub fn end_writing(&mut self) {
+        self.reader.get_mut().shutdown(Shutdown::Write).unwrap();
+    }
+
+    /// Waits for the other side's end, whatever comes before.
+    pub fn is_ended(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.reader.read_to_end(&mut rest).is_ok()
+    }
+}
+
+/// The answer that ends a query with one row on one page.
+pub fn row(cell: &str) -> String {
+    let body = format!("{cell}\n");
+    format!("HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// An engine that runs each query at once and answers with the ticket that it ran, over any connection.
+pub fn run_all(peer: Peer, ran: std::sync::Arc<std::sync::Mutex<Vec<String>>>) {
+    thread::spawn(move || {
+        loop {
+            let mut wire = peer.accept();
+            let ran = ran.clone();
+            thread::spawn(move || {
+                while let Some(call) = wire.next_call() {
+                    match call.verb.as_str() {
+                        "POST" => {
+                            ran.lock().unwrap().push(call.ticket().to_owned());
+                            wire.row(call.ticket());
+                        }
+                        "GET" => wire.say("HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n"),
+                        _ => wire.say("HTTP/1.1 204 No Content\r\n\r\n"),
+                    }
+                }
+            });
+        }
+    });
+}
--- /dev/null
+++ b/gateway/tests/crossings.rs
@@ -0,0 +1,688 @@
+//! Where two events cross: clients that leave, connections that close, engines and lists that change their word in
+//! the wrong moment. Peers are scripted, so that the order is forced by what they send, never by the machine's speed.
+
+mod common;
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use common::script::{Peer, row, run_all};
+use common::{Gateway, pg};
+
+fn id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+fn text(class: &str, n: u64) -> String {
+    format!("/* c={class},i={},d=20000 */ SELECT v FROM sales_17.orders", id(n))
+}
+
+fn code(answer: &pg::Answer) -> &str {
+    match answer {
+        pg::Answer::Error(code, _) => code,
+        other => panic!("an error was expected, not {other:?}"),
+    }
+}
+
+fn rows(n: u64) -> pg::Answer {
+    pg::Answer::Rows(vec![vec![id(n)]])
+}
+
+/// Sends a request until it is served, with a new id for each try.
+fn served(gateway: &Gateway, class: &str, from: u64) -> u64 {
+    let mut client = pg::Client::connect(gateway.pg);
+    for n in from..from + 100 {
+        match client.query(&text(class, n)) {
+            pg::Answer::Error(code, _) if code.starts_with("53") => thread::sleep(Duration::from_millis(50)),
+            answer => {
+                assert_eq!(answer, rows(n));
+                return n;
+            }
+        }
+    }
+    panic!("refused a hundred times");
+}
+
+fn taken(gateway: &Gateway, n: u64) {
+    gateway.logged(&format!("taken ticket=\"{}\"", id(n)));
+}
+
+fn left(gateway: &Gateway, n: u64) {
+    gateway.logged(&format!("left ticket=\"{}\"", id(n)));
+}
+
+/// What ran at engines that run all.
+fn ran() -> Arc<Mutex<Vec<String>>> {
+    Arc::default()
+}
+
+/// Settings in which attempts may not be taken back: nothing but the check at the first byte holds them.
+fn no_cancel(config: String) -> String {
+    config.replace("\"cancelling\":true", "\"cancelling\":false")
+}
+
+fn patient_connects(config: String) -> String {
+    config.replace("\"connect-timeout-s\":0.25", "\"connect-timeout-s\":30.0")
+}
+
+#[test]
+fn who_leaves_while_its_request_is_held_has_it_sent_nowhere() {
+    let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    let gateway = Gateway::scripted(&engine.entry("Terminating"), Some(coordinator.address), "", None, |t| t);
+    let (mut watch, last) = coordinator.watch();
+    assert_eq!(last, 1);
+    watch.stream();
+    let mut clients: Vec<_> = (0..5).map(|_| pg::Client::connect(gateway.pg)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&text("load", n as u64));
+        taken(&gateway, n as u64);
+    }
+    // One that has more behind its request than anybody reads ahead.
+    let mut flooding = clients.pop().unwrap();
+    assert!(flooding.flood(1 << 20), "what can't be kept is read all the same");
+    drop(flooding);
+    let (mut cancels, resets) = (clients.pop().unwrap(), clients.pop().unwrap());
+    pg::Client::cancel(gateway.pg, cancels.key);
+    assert_eq!(code(&cancels.answer()), "57014");
+    resets.reset();
+    clients[1].end_writing();
+    drop(clients);
+    (0..5).for_each(|n| left(&gateway, n));
+    let ran_there = ran();
+    watch.event(2, &engine.entry("Ready"));
+    run_all(engine, ran_there.clone());
+    let n = served(&gateway, "load", 100);
+    assert_eq!(*ran_there.lock().unwrap(), [id(n)]);
+    let (exit, log) = gateway.end();
+    assert_eq!(exit, Some(0));
+    assert!(log.contains("left=5"), "{log}");
+}
+
+#[test]
+fn who_leaves_while_its_connection_comes_up_has_it_sent_nowhere() {
+    let may_not: fn(String) -> String = |t| no_cancel(patient_connects(t));
+    for (change, comes_up) in [(patient_connects as fn(String) -> String, false), (may_not, true)] {
+        let mut engine = Peer::shut("e1");
+        let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, change);
+        let mut client = pg::Client::connect(gateway.pg);
+        client.send(&text("load", 1));
+        gateway.logged("connection opened");
+        drop(client);
+        left(&gateway, 1);
+        engine.let_in();
+        // Where it was not closed it is up at last, long after its request has gone: it may carry another's.
+        let wire = comes_up.then(|| engine.accept());
+        let ran = ran();
+        let late = thread::spawn({
+            let ran = ran.clone();
+            move || {
+                let Some(mut wire) = wire else { return };
+                while let Some(call) = wire.next_call() {
+                    ran.lock().unwrap().push(call.ticket().to_owned());
+                    wire.row(call.ticket());
+                }
+            }
+        });
+        run_all(engine, ran.clone());
+        let n = served(&gateway, "load", 100);
+        drop(gateway);
+        late.join().unwrap();
+        assert_eq!(*ran.lock().unwrap(), [id(n)]);
+    }
+}
+
+#[test]
+fn who_leaves_between_two_attempts_has_no_second() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("load", 1));
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    // Full, so that it rests before the next attempt.
+    wire.say("HTTP/1.1 503 x\r\nX-Shed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    gateway.logged("ended ticket=\"0000000000000001\"");
+    drop(client);
+    left(&gateway, 1);
+    let ran = ran();
+    run_all(engine, ran.clone());
+    let n = served(&gateway, "load", 100);
+    assert_eq!(*ran.lock().unwrap(), [id(n)]);
+}
+
+#[test]
+fn who_leaves_while_its_request_runs_has_it_given_up_at_the_engine() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("load", 1));
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    assert!(client.flood(1 << 20));
+    drop(client);
+    let call = engine.accept().call();
+    assert_eq!((call.verb.as_str(), call.path), ("DELETE", format!("/data/{}", id(1))));
+}
+
+#[test]
+fn a_flood_behind_a_request_costs_its_session_alone() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+    let (mut client, mut other) = (pg::Client::connect(gateway.pg), pg::Client::connect(gateway.pg));
+    client.send(&text("load", 1));
+    let mut wire = engine.accept();
+    wire.call();
+    for _ in 0..16 {
+        assert!(client.flood(256 << 10));
+        assert_eq!(other.query(";"), pg::Answer::Empty, "others are read beside it");
+    }
+    wire.row(&id(1));
+    assert_eq!(client.answer(), rows(1), "what it asked for is answered");
+    assert_eq!(code(&client.answer()), "54000", "and what cannot be understood behind it, once");
+    assert!(client.is_ended());
+    let (_, log) = gateway.end();
+    assert!(log.contains("invalid=1"), "{log}");
+}
+
+#[test]
+fn a_cancel_overtakes_the_request_that_it_names() {
+    let engine = Peer::new("e1");
+    let operator = "[clients]\nmost_sessions = 180\nturn_ms = 1";
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, operator, None, |t| t);
+    let ran = ran();
+    run_all(engine, ran.clone());
+    let mut crowd: Vec<_> = (0..140).map(|_| pg::Client::connect(gateway.pg)).collect();
+    let mut client = pg::Client::connect(gateway.pg);
+    // All of them wait to be read, the one behind the others; the cancel comes over a new connection.
+    let _cancel = gateway.paused(|| {
+        for (n, one) in crowd.iter_mut().enumerate() {
+            one.send(&text("lookup", 1000 + n as u64));
+        }
+        client.send(&text("lookup", 1));
+        pg::Client::cancel_unread(gateway.pg, client.key)
+    });
+    assert_eq!(code(&client.answer()), "57014");
+    for one in &mut crowd {
+        one.answer();
+    }
+    assert!(!ran.lock().unwrap().contains(&id(1)), "nothing of it was sent");
+    // A wrong key, and one whose request is over, end nothing.
+    let key = client.key;
+    pg::Client::cancel(gateway.pg, key);
+    pg::Client::cancel(gateway.pg, [key[0], key[1], key[2], key[3], key[4], key[5], key[6], !key[7]]);
+    let n = served(&gateway, "lookup", 100);
+    assert!(ran.lock().unwrap().contains(&id(n)));
+}
+
+#[test]
+fn a_second_answer_that_comes_late_is_nobody_else_s() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+    thread::spawn(move || {
+        loop {
+            let mut wire = engine.accept();
+            thread::spawn(move || {
+                while let Some(call) = wire.next_call() {
+                    if call.verb == "POST" {
+                        wire.row(call.ticket());
+                        thread::sleep(Duration::from_millis(5));
+                        wire.row(call.ticket());
+                    }
+                }
+            });
+        }
+    });
+    let mut clients = [pg::Client::connect(gateway.pg), pg::Client::connect(gateway.pg)];
+    for n in 1..40 {
+        assert_eq!(clients[n as usize % 2].query(&text("lookup", n)), rows(n));
+    }
+}
+
+/// Settings in which a class may be repeated for so many seconds.
+fn keyed(config: &str, class: &str, window: f64) -> String {
+    let token =
+        format!("\"name\":\"{class}\",\"repeat\":\"token\",\"group\":\"all\",\"window-s\":{window:.1}");
+    let changed = config.replace(&format!("\"name\":\"{class}\",\"repeat\":\"pure\""), &token);
+    assert_ne!(changed, config);
+    patient_connects(changed)
+}
+
+#[test]
+fn a_client_s_token_goes_on_with_every_attempt() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| keyed(&t, "report", 5.0));
+    let mut client = pg::Client::connect(gateway.pg);
+    let query =
+        |token: &str| format!("/* c=report,i={},d=20000,k={token} */ SELECT v FROM sales_17.orders", id(1));
+    client.send(&text("report", 2));
+    let mut wire = engine.accept();
+    assert!(!wire.call().headers.contains_key("x-nonce"), "none of the gateway's own making");
+    wire.say(&row(&id(2)).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+    assert_eq!(client.answer(), rows(2));
+    client.send(&query("16d2cf6db534bf77e12ba3280ca951ca"));
+    let mut wire = engine.accept();
+    for attempt in 0..2 {
+        let call = wire.call();
+        assert_eq!(call.headers["x-nonce"], "16d2cf6db534bf77e12ba3280ca951ca", "attempt {attempt}");
+        assert_eq!(call.ticket(), id(1));
+        if attempt == 0 {
+            wire.say("HTTP/1.1 503 x\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+    wire.row(&id(1));
+    assert_eq!(client.answer(), rows(1));
+    for bad in ["", "a b", "a\tb", "a\u{7f}", &"k".repeat(129)] {
+        assert_eq!(code(&client.query(&query(bad))), "42601", "{bad:?}");
+    }
+}
+
+#[test]
+fn a_repeat_whose_window_ends_while_its_connection_comes_up_is_not_sent() {
+    let (one, mut two, coordinator) = (Peer::new("e1"), Peer::shut("e2"), Peer::new("c"));
+    let change = |t: String| keyed(&t, "lookup", 0.5);
+    let gateway = Gateway::scripted(&one.entry("Ready"), Some(coordinator.address), "", None, change);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("lookup", 1));
+    let mut wire = one.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    watch.event(2, &format!("{},{}", two.entry("Ready"), one.entry("Terminating")));
+    gateway.logged("name=\"e1\" state=Draining");
+    wire.say("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n");
+    gateway.logged("ended ticket=\"0000000000000001\"");
+    // A connection that was not let in is tried again by the kernel after a second, twice the window.
+    two.let_in();
+    assert!(code(&client.answer()).starts_with("53"), "repeats are known as such everywhere");
+    let ran = ran();
+    run_all(two, ran.clone());
+    let n = served(&gateway, "lookup", 100);
+    assert!(!ran.lock().unwrap().contains(&id(1)), "the window was over");
+    assert!(ran.lock().unwrap().contains(&id(n)));
+}
+
+#[test]
+fn an_engine_that_drains_while_its_connection_comes_up_gets_nothing() {
+    let (mut one, two, coordinator) = (Peer::shut("e1"), Peer::new("e2"), Peer::new("c"));
+    let change = patient_connects;
+    let gateway = Gateway::scripted(&one.entry("Ready"), Some(coordinator.address), "", None, change);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("load", 1));
+    gateway.logged("connection opened");
+    watch.event(2, &format!("{},{}", one.entry("Terminating"), two.entry("Ready")));
+    gateway.logged("name=\"e1\" state=Draining");
+    let elsewhere = ran();
+    run_all(two, elsewhere.clone());
+    one.let_in();
+    assert_eq!(client.answer(), rows(1), "it never ran, so it may go elsewhere");
+    assert_eq!(*elsewhere.lock().unwrap(), [id(1)]);
+    // Its connection is of no use; whatever comes over it is no call.
+    let n = served(&gateway, "load", 100);
+    assert_eq!(*elsewhere.lock().unwrap(), [id(1), id(n)]);
+    assert!(gateway.log().matches("sent ticket=").count() == 2, "{}", gateway.log());
+}
+
+#[test]
+fn calls_for_an_engine_that_has_gone_do_not_reach_who_has_its_address() {
+    let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    let gateway = Gateway::scripted(&engine.entry("Ready"), Some(coordinator.address), "", None, |t| t);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("report", 1));
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    let heir = engine.entry("Ready").replace("\"e1\"", "\"e2\"");
+    watch.event(2, &format!("{},{heir}", engine.entry("Gone")));
+    gateway.logged("name=\"e2\" state=Ready");
+    wire.reset();
+    // Neither asked for nor given up where nobody knows it.
+    assert!(code(&client.answer()).starts_with("53"));
+    client.send(&text("report", 2));
+    let mut wire = engine.accept();
+    let call = wire.call();
+    assert_eq!((call.verb.as_str(), call.ticket()), ("POST", id(2).as_str()));
+    wire.row(&id(2));
+    assert_eq!(client.answer(), rows(2));
+}
+
+/// The whole call was written and nothing came: the engine may have closed the connection as idle, or run the query.
+#[test]
+fn a_call_whose_connection_is_closed_in_that_instant_is_repeated_as_its_class_lets_it() {
+    let unknown = "HTTP/1.1 500 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    for (class, again) in [("report", true), ("load", false)] {
+        let engine = Peer::new("e1");
+        let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+        let mut client = pg::Client::connect(gateway.pg);
+        client.send(&text(class, 1));
+        let mut wire = engine.accept();
+        assert_eq!(wire.call().verb, "POST");
+        drop(wire);
+        // The engine is asked whether it knows the query.
+        let mut asked = engine.accept();
+        assert_eq!(asked.call().path, format!("/data/{}/0", id(1)));
+        asked.say(unknown);
+        if again {
+            let mut second = engine.accept();
+            let call = second.call();
+            assert_eq!((call.verb.as_str(), call.ticket()), ("POST", id(1).as_str()));
+            second.row(&id(1));
+            assert_eq!(client.answer(), rows(1));
+        } else {
+            assert_eq!(code(&client.answer()), "58000");
+            client.send(&text(class, 2));
+            assert_eq!(engine.accept().call().ticket(), id(2));
+        }
+    }
+}
+
+#[test]
+fn events_of_the_list_that_are_skipped_are_asked_for_again() {
+    let (one, two, coordinator) = (Peer::new("e1"), Peer::new("e2"), Peer::new("c"));
+    let list = format!("{},{}", one.entry("Ready"), two.entry("Ready"));
+    let gateway = Gateway::scripted(&list, Some(coordinator.address), "", None, |t| t);
+    let (mut watch, last) = coordinator.watch();
+    assert_eq!(last, 1);
+    watch.stream();
+    watch.event(3, &two.entry("Terminating"));
+    let (mut again, last) = coordinator.watch();
+    assert_eq!(last, 1, "the second has not come");
+    assert!(watch.is_ended(), "one stream at a time");
+    again.stream();
+    again.event(2, &one.entry("Terminating"));
+    again.event(3, &two.entry("Terminating"));
+    gateway.logged("name=\"e2\" state=Draining");
+    assert!(gateway.log().contains("name=\"e1\" state=Draining"), "in their order");
+    // What is not there the second time either is not waited for; an old one changes nothing.
+    again.event(6, &one.entry("Ready"));
+    let (mut last_one, last) = coordinator.watch();
+    assert_eq!(last, 3);
+    last_one.stream();
+    last_one.event(6, &one.entry("Ready"));
+    gateway.logged("name=\"e1\" state=Ready since_ms=0 now_us=");
+    last_one.event(5, &one.entry("Gone"));
+    last_one.event(7, &two.entry("Gone"));
+    gateway.logged("name=\"e2\" state=Gone");
+    assert!(!gateway.log().contains("name=\"e1\" state=Gone"));
+}
+
+#[test]
+fn a_stream_of_the_list_without_an_end_of_line_is_taken_for_dead() {
+    let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    let gateway = Gateway::scripted(&engine.entry("Ready"), Some(coordinator.address), "", None, |t| t);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    watch.say(": here\n\n");
+    // Half a character of half a line, byte by byte.
+    watch.say("id: 2\ndata: \u{e9}");
+    while coordinator.is_left_alone() {
+        watch.say("x");
+        thread::sleep(Duration::from_millis(50));
+    }
+    gateway.logged("the coordinator is silent");
+}
+
+#[test]
+fn a_watch_whose_connection_does_not_come_up_is_tried_anew() {
+    let (engine, mut coordinator) = (Peer::new("e1"), Peer::shut("c"));
+    let gateway = Gateway::scripted(&engine.entry("Ready"), Some(coordinator.address), "", None, |t| t);
+    gateway.logged("the coordinator is silent");
+    coordinator.let_in();
+    // The connection that was given up may have come up after all, and ends without a call.
+    let mut wire = coordinator.accept();
+    let call = wire.next_call().unwrap_or_else(|| coordinator.accept().call());
+    assert_eq!(call.path, "/v2/stream");
+}
+
+#[test]
+fn a_stream_of_the_list_is_opened_again_after_errors_and_moved_while_it_comes_up() {
+    let (one, two) = (Peer::new("e1"), Peer::new("e2"));
+    let (old, new) = (Peer::new("c"), Peer::new("d"));
+    let list = format!("{},{}", one.entry("Ready"), two.entry("Ready"));
+    let gateway = Gateway::scripted(&list, Some(old.address), "", None, |t| t);
+    let (mut watch, _) = old.watch();
+    watch.say("HTTP/1.1 503 later\r\nContent-Length: 0\r\n\r\n");
+    // The next one never gets a head; discovery moves meanwhile.
+    let (mut mute, last) = old.watch();
+    assert_eq!(last, 1);
+    gateway.reconfigure(|t| t.replace(&old.address.to_string(), &new.address.to_string()));
+    let (mut moved, last) = new.watch();
+    assert_eq!(last, 1);
+    assert!(mute.is_ended(), "two streams never feed one list");
+    moved.stream();
+    moved.event(2, &two.entry("Terminating"));
+    gateway.logged("name=\"e2\" state=Draining");
+    // Broken in the middle of a line: it is asked for behind the last whole event.
+    moved.say("id: 3\ndata: {\"index\":3,\"endp");
+    moved.reset();
+    let (mut whole, last) = new.watch();
+    assert_eq!(last, 2);
+    whole.stream();
+    whole.event(3, &one.entry("Terminating"));
+    gateway.logged("name=\"e1\" state=Draining");
+    drop(old);
+}
+
+#[test]
+fn settings_that_change_in_service_count_from_the_next_start_and_that_is_said_once() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("report", 1));
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().headers["x-queue"], "report");
+    // The class that is out has another name, and the others other places.
+    gateway.reconfigure(|t| {
+        t.replace("\"report\"", "\"digest\"").replace("\"lookup\"", "\"load\"").replacen(
+            "\"name\":\"load\",\"repeat\":\"side",
+            "\"name\":\"lookup\",\"repeat\":\"side",
+            1,
+        )
+    });
+    gateway.logged("classes_gone=[\"report\"] classes_new=[\"digest\"]");
+    wire.row(&id(1));
+    assert_eq!(client.answer(), rows(1), "what is out ends as it was taken");
+    assert_eq!(code(&client.query(&text("digest", 2))), "42601", "a class of the next start");
+    client.send(&text("report", 3));
+    assert_eq!(wire.call().headers["x-queue"], "report");
+    assert_eq!(gateway.log().matches("the settings have changed").count(), 1);
+}
+
+#[test]
+fn a_signal_to_one_that_is_just_starting_neither_ends_it_nor_is_lost() {
+    for signal in ["-HUP", "-USR1", "-TERM"] {
+        let engine = Peer::new("e1");
+        let starting = Gateway::starting(&engine.entry("Ready"));
+        // It waits for its configuration.
+        starting.signal(signal);
+        let gateway = starting.go_on();
+        match signal {
+            "-HUP" => gateway.logged("configuration read again"),
+            "-USR1" => gateway.logged("counters="),
+            _ => assert_eq!(gateway.wait().0, Some(0)),
+        }
+    }
+}
+
+#[test]
+fn sigterm_takes_who_has_connected_and_what_has_come_in_the_last_moment() {
+    let engine = Peer::new("e1");
+    // More come than a turn carries.
+    let operator = "[clients]\nmost_sessions = 180\nturn_ms = 1";
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, operator, None, |t| t);
+    let ran = ran();
+    run_all(engine, ran.clone());
+    let mut resting = pg::Client::connect(gateway.pg);
+    let mut crossing: Vec<_> = (0..70).map(|_| pg::Client::connect(gateway.pg)).collect();
+    let (mut half, mut starting) = (pg::Client::connect(gateway.pg), pg::Client::silent(gateway.pg));
+    half.raw(b"Q\0\0\0\x40/* c=lookup");
+    starting.raw(&[0, 0, 0, 40, 0, 3]);
+    assert_eq!(half.clone().key, half.key);
+    gateway.terminate();
+    gateway.logged("taking for 0.7 s more");
+    gateway.terminate();
+    // All of this is there when the time for taking is over.
+    let late = gateway.paused(|| {
+        thread::sleep(Duration::from_millis(900));
+        for (n, client) in crossing.iter_mut().enumerate() {
+            // Long ones, so that not all of them are read in one turn.
+            client.send(&(text("lookup", n as u64) + &" ".repeat(60_000)));
+        }
+        (100..190).map(|n| pg::Client::late(gateway.pg, &text("lookup", n))).collect::<Vec<_>>()
+    });
+    for client in &mut crossing {
+        assert!(code(&client.answer()).starts_with("53"), "refused, as nothing is sent on any more");
+    }
+    for mut client in late {
+        let answer = client.late_answer();
+        assert!(answer.starts_with("53") || answer == "57P03", "{answer}");
+    }
+    assert_eq!(code(&half.answer()), "57P03");
+    assert_eq!(code(&starting.answer()), "57P03");
+    assert!(resting.is_ended() && half.is_ended(), "an end, no reset");
+    assert!(ran.lock().unwrap().is_empty());
+    let (exit, log) = gateway.wait();
+    assert_eq!(exit, Some(0), "{log}");
+}
+
+#[test]
+fn sigterm_answers_all_that_is_out_before_the_end_may_come() {
+    let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    // Deadlines beyond all patience here: whoever waited for them would not be answered.
+    let long = |t: String| t.replace("\"deadline-s\":2", "\"deadline-s\":32");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), Some(coordinator.address), "", None, long);
+    // Discovery answers nothing, and moves in the very turn of the signal.
+    let (_mute, _) = coordinator.watch();
+    let mut clients: Vec<_> = (0..3).map(|_| pg::Client::connect(gateway.pg)).collect();
+    let mut wires = Vec::new();
+    for (n, (client, class)) in clients.iter_mut().zip(["report", "load", "report"]).enumerate() {
+        client.send(&text(class, n as u64 + 1).replace("d=20000", "d=300000"));
+        if n < 2 {
+            let mut wire = engine.accept();
+            assert_eq!(wire.call().ticket(), id(n as u64 + 1));
+            // It hangs, and says so.
+            wire.say("HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n");
+            wires.push(wire);
+        }
+        taken(&gateway, n as u64 + 1);
+    }
+    let news = wires.into_iter().map(|mut wire| {
+        thread::spawn(move || {
+            while wire.next_call().is_some() {
+                thread::sleep(Duration::from_millis(100));
+                wire.say("HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n");
+            }
+        })
+    });
+    let news: Vec<_> = news.collect();
+    gateway.paused(|| {
+        gateway.signal("-HUP");
+        gateway.terminate();
+    });
+    // Their engine would run them for minutes; repeats of a report do no harm, those of a load would.
+    assert!(code(&clients[0].answer()).starts_with("53"));
+    assert_eq!(code(&clients[1].answer()), "58000");
+    assert!(code(&clients[2].answer()).starts_with("53"));
+    assert!(clients.iter_mut().all(pg::Client::is_ended));
+    let (exit, log) = gateway.wait();
+    assert_eq!(exit, Some(0), "{log}");
+    drop(engine);
+    news.into_iter().for_each(|n| n.join().unwrap());
+}
+
+#[test]
+fn idle_clients_that_hold_all_descriptors_yield_to_engines_watch_and_newcomers() {
+    let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    // Fewer descriptors than the configuration says: they run out long before the places do.
+    let gateway = Gateway::scripted(&engine.entry("Ready"), Some(coordinator.address), "", Some(64), |t| t);
+    let (watch, _) = coordinator.watch();
+    let address = coordinator.address;
+    drop((watch, coordinator));
+    // Discovery is down: what it held may be taken by clients.
+    let mut clients: Vec<_> = (0..80).map(|_| pg::Client::connect(gateway.pg)).collect();
+    let mut asking = clients.split_off(76);
+    for (n, client) in asking.iter_mut().enumerate() {
+        client.send(&text("lookup", n as u64));
+    }
+    // All of them are out at once, each over a connection of its own.
+    let mut wires: Vec<_> = (0..asking.len()).map(|_| engine.accept()).collect();
+    for wire in &mut wires {
+        let ticket = wire.call().ticket().to_owned();
+        wire.row(&ticket);
+    }
+    for (n, client) in asking.iter_mut().enumerate() {
+        assert_eq!(client.answer(), rows(n as u64), "an engine is reached");
+    }
+    drop(wires);
+    run_all(engine, ran());
+    served(&gateway, "lookup", 100);
+    let back = Peer::at("c", address);
+    let (mut watch, _) = back.watch();
+    watch.stream();
+    watch.event(2, "");
+    let turns = gateway.turns();
+    thread::sleep(Duration::from_millis(200));
+    assert!(gateway.turns() - turns < 100, "it does not spin");
+    assert!(clients[0].is_ended(), "the one idle for longest has yielded");
+    assert_eq!(asking[3].query(";"), pg::Answer::Empty);
+}
+
+#[test]
+fn a_restarted_process_is_ready_whatever_discovery_does() {
+    let list = (0..4000).map(|n| {
+        format!(
+            "{{\"name\":\"e{n}\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"type\":\"k\",\"group\":{},\"status\":\"Ready\",\"weight\":1,\"since_ms\":0}}",
+            n % 50
+        )
+    });
+    let list = list.collect::<Vec<_>>().join(",");
+    let mute = Peer::new("c");
+    let down = Peer::new("d").address;
+    for coordinator in [mute.address, down] {
+        let gateway = Gateway::scripted(&list, Some(coordinator), "", None, |t| t);
+        let mut client = pg::Client::connect(gateway.pg);
+        assert_eq!(client.query(";"), pg::Answer::Empty);
+    }
+}
+
+#[test]
+fn a_request_over_a_connection_that_is_idle_for_too_long_is_served() {
+    let engine = Peer::new("e1");
+    let operator = "[clients]\nidle_limit_s = 1";
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, operator, None, |t| t);
+    run_all(engine, ran());
+    let (mut crossing, mut idle) = (pg::Client::connect(gateway.pg), pg::Client::connect(gateway.pg));
+    gateway.paused(|| {
+        thread::sleep(Duration::from_millis(1200));
+        crossing.send(&text("lookup", 1));
+    });
+    assert_eq!(crossing.answer(), rows(1));
+    assert!(idle.is_ended());
+}
+
+#[test]
+fn an_answer_that_breaks_off_is_asked_for_again_and_a_load_runs_once() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+    let mut client = pg::Client::connect(gateway.pg);
+    let whole = row(&id(1));
+    let head = whole.find("\r\n\r\n").unwrap();
+    // In the head, between head and body, in the body, a length that lies, one that never ends.
+    for cut in [5, head + 4, whole.len() - 3] {
+        client.send(&text("load", 1));
+        let mut wire = engine.accept();
+        assert_eq!(wire.call().verb, "POST");
+        wire.say(&whole[..cut]);
+        wire.end_writing();
+        let mut again = engine.accept();
+        let call = again.call();
+        assert_eq!((call.verb.as_str(), call.path), ("GET", format!("/data/{}/0", id(1))));
+        again.say(&whole);
+        assert_eq!(client.answer(), rows(1));
+        again.reset();
+        gateway.logged("connection closed");
+    }
+}
--- a/sessions/src/table.rs
+++ b/sessions/src/table.rs
@@ -220,6 +220,15 @@
         }
     }
 
+    /// All sessions.
+    pub fn handles(&self) -> impl Iterator<Item = Handle> {
+        let taken = |(index, s): (usize, &Slot<C, H>)| {
+            let handle = Handle { index: index as u32, generation: s.generation };
+            (!matches!(s.body, Body::Free)).then_some(handle)
+        };
+        self.slots.iter().enumerate().filter_map(taken)
+    }
+
     /// All hot parts.
     pub fn all_hot(&self) -> impl Iterator<Item = &H> {
         self.slots.iter().filter_map(|s| match &s.body {
