Pass cancels on between two processes, and close what one answer too many came over

- Two processes of one gateway drew the same secrets where the newer one was started with the same configuration: a CancelRequest named a session of each, and the newer one took it for its own, the cancel's own connection even (seen in the test: the request ran to its deadline).
The secrets are salted with the start's time and process; what names no session here goes to the older process, if that says that it takes it.
Earlier ones don't and are not told.
(operation.rs a_cancel_reaches.., fails with either taken out)
- A 202 without news that comes at once is a second answer to the call before: from then on the connection seems at rest with one answer still to come.
It is used no more.
(a_connection_with_one_answer_too_many..)
- Sessions idle for longer than the operator lets them are ended and drained instead of cut.
- `known` with an event that can't be read no longer refuses the start: the rest is asked of the coordinator.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -380,7 +380,6 @@
     settings.check()?;
     let seed = root.get("seed").text()?;
     let allowed = env.get("allowed");
-    let known = root.get("known");
     let (coordinator, ops) = (root.get("coordinator"), root.get("ops"));
     Ok(Config {
         path: None,
@@ -391,10 +390,7 @@
         sockets: root.get("limits").get("sockets").number_or(1024.0)? as usize,
         memory: (root.get("limits").get("memory_mb").number_or(192.0)? * f64::from(1 << 20)) as usize,
         coordinator: if coordinator.is_there() { Some(coordinator.address()?) } else { None },
-        known: (
-            known.get("index").number_or(0.0)? as u64,
-            known.get("updates").items()?.iter().map(list_event).collect::<Result<_, _>>()?,
-        ),
+        known: known_events(&root.get("known"))?,
         settings,
         names,
         keepalive_us: (allowed.get("keepalive-s").number_or(15.0)? * 1e6) as u64,
@@ -405,6 +401,22 @@
     })
 }
 
+/// The list so far, as far as it can be read: what is behind the last good event is asked of the coordinator. A
+/// gateway that refused to start for it would serve nobody.
+fn known_events(known: &Node<'_>) -> Result<(u64, Vec<ListEvent>), ConfigError> {
+    let mut events: Vec<ListEvent> = Vec::new();
+    for node in known.get("updates").items()? {
+        match list_event(&node) {
+            Ok(event) => events.push(event),
+            Err(e) => {
+                tracing::warn!("{e}: what follows is asked of the coordinator");
+                return Ok((events.last().map_or(0, |event| event.index), events));
+            }
+        }
+    }
+    Ok((known.get("index").number_or(0.0)? as u64, events))
+}
+
 fn settings(env: &Node<'_>) -> Result<(Settings, Names), ConfigError> {
     let (allowed, rules, domain) = (env.get("allowed"), env.get("rules"), env.get("domain"));
     let mut names = Names {
--- a/gateway/src/config/tests.rs
+++ b/gateway/src/config/tests.rs
@@ -34,6 +34,26 @@
     assert!(event("7").is_err(), "nothing of it can be read");
 }
 
+#[test]
+fn a_list_that_can_t_be_read_to_its_end_keeps_nobody_from_starting() {
+    let known = |events: &str| {
+        let from = "\"known\":{\"index\":1,\"updates\":[{\"index\":1,\"endpoints\":{\"index\":1,\"snapshot\":true,\"endpoints\":[]}}";
+        let read = try_read(|t| {
+            assert!(t.contains(from));
+            t.replace(
+                from,
+                &format!("{}{events}", from.replace("\"index\":1,\"updates", "\"index\":9,\"updates")),
+            )
+        });
+        read.unwrap().known
+    };
+    assert_eq!((known("").0, known("").1.len()), (9, 1));
+    let (last, events) = known(
+        ",{\"index\":2,\"endpoints\":{\"endpoints\":7}},{\"index\":3,\"endpoints\":{\"endpoints\":[]}}",
+    );
+    assert_eq!((last, events.len()), (1, 1), "the rest is asked for behind the last good one");
+}
+
 #[test]
 fn mistakes_are_named() {
     let error = |from: &str, to: &str| {
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -33,8 +33,19 @@
     Enter(String),
     /// It may serve again since this Unix millisecond.
     Exit(String, u64),
-    /// Nothing more belongs to the state.
-    End,
+    /// Nothing more belongs to the state; whether the older process takes [`Word::Cancel`], which earlier ones do not
+    /// know.
+    End {
+        /// It does.
+        cancels: bool,
+    },
+    /// The newer process was asked to end a request that it does not know: it may be the older one's.
+    Cancel {
+        /// The session's number.
+        session: u32,
+        /// Its secret.
+        secret: u32,
+    },
     /// The newer process takes clients.
     Taking,
 }
@@ -86,7 +97,12 @@
             }
             Word::Enter(name) => vec![("enter", text(name))],
             Word::Exit(name, ms) => vec![("exit", text(name)), ("ms", number(*ms))],
-            Word::End => vec![("end", JsonValue::Boolean(true))],
+            Word::End { cancels } => {
+                vec![("end", JsonValue::Boolean(true)), ("cancels", JsonValue::Boolean(*cancels))]
+            }
+            Word::Cancel { session, secret } => {
+                vec![("cancel", number(u64::from(*session))), ("secret", number(u64::from(*secret)))]
+            }
             Word::Taking => vec![("taking", JsonValue::Boolean(true))],
         };
         let object = members.into_iter().map(|(key, value)| (key.to_owned(), value)).collect();
@@ -119,7 +135,11 @@
             () if is("listed") => Ok(Word::Listed(list_entry(&root.get("listed")).map_err(foreign)?)),
             () if is("enter") => Ok(Word::Enter(name("enter")?)),
             () if is("exit") => Ok(Word::Exit(name("exit")?, ms()?)),
-            () if is("end") => Ok(Word::End),
+            () if is("end") => Ok(Word::End { cancels: root.get("cancels").flag().map_err(foreign)? }),
+            () if is("cancel") => {
+                let part = |key: &str| root.get(key).number().map(|n| n as u32).map_err(foreign);
+                Ok(Word::Cancel { session: part("cancel")?, secret: part("secret")? })
+            }
             () if is("taking") => Ok(Word::Taking),
             () => Err(BadWord::Foreign),
         }
@@ -160,8 +180,9 @@
             Word::Listed(listed),
             Word::Enter("s-1".into()),
             Word::Exit("s-1".into(), 9),
-            Word::End,
+            Word::End { cancels: true },
             Word::Taking,
+            Word::Cancel { session: 7, secret: u32::MAX },
         ]
     }
 
@@ -188,6 +209,11 @@
         let read = |text: &str| next(&mut text.as_bytes().to_vec());
         let old = "{\"hello\":\"n0\",\"listen\":\"127.0.0.1:1\",\"form\":0}\n";
         assert_eq!(read(old), Err(BadWord::Form(0)));
+        assert_eq!(
+            read("{\"end\":true}\n"),
+            Ok(Some(Word::End { cancels: false })),
+            "as earlier ones say it"
+        );
         for foreign in
             ["\n", "{}\n", "GET / HTTP/1.1\r\n", "{\"enter\":7}\n", "{\"listed\":{\"name\":\"a\"}}\n"]
         {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -109,10 +109,9 @@
         false
     }
 
-    /// Closes a session of ours to close, unless something has come over it that nobody has looked at: a request
-    /// that crosses the close would be taken and dropped, and a close over unread bytes resets the connection.
-    /// True if it is closed.
-    fn close_unless_heard(&mut self, who: Handle) -> bool {
+    /// Whether a session that is to be closed has nothing to say: looks once more for what has come over it. A
+    /// request that crosses the close would be taken and dropped, and a close over unread bytes resets the connection.
+    fn is_silent(&mut self, who: Handle) -> bool {
         let idle =
             |s: &Sessions| s.table.used(who).is_some_and(|(u, _)| matches!(u, Use::Idle | Use::Keeping));
         if idle(&self.sessions) {
@@ -124,10 +123,18 @@
                 }
             }
         }
-        self.client_lost(who);
         true
     }
 
+    /// Closes a session at once, as its descriptor is needed, unless something has come over it. True if it is closed.
+    fn close_unless_heard(&mut self, who: Handle) -> bool {
+        let silent = self.is_silent(who);
+        if silent {
+            self.client_lost(who);
+        }
+        silent
+    }
+
     fn visit(&mut self, pick: Pick) {
         let who = pick.who;
         if !self.sessions.wake(who, &self.config, self.time.now_us) {
@@ -323,7 +330,12 @@
                 if self.time.now_us < since_us + limit_us {
                     break;
                 }
-                self.counters.idle_closed += u64::from(self.close_unless_heard(who));
+                if self.is_silent(who) {
+                    // Nobody waits for its place: it ends when its client has seen that this side does.
+                    self.close_soon(who);
+                    self.sessions.table.set_use(who, Use::Told, self.time.now_us);
+                    self.counters.idle_closed += 1;
+                }
             }
         }
         self.await_idle_limit();
@@ -441,13 +453,11 @@
     }
 
     /// Ends the request of the session that a CancelRequest names; its client waits no longer.
-    fn cancel(&mut self, session: u32, secret: u32) {
-        let Some(who) = session.checked_sub(1).and_then(|index| self.sessions.table.tenant(index)) else {
-            return;
+    pub(super) fn cancel(&mut self, session: u32, secret: u32) {
+        let who = session.checked_sub(1).and_then(|index| self.sessions.table.tenant(index));
+        let Some(who) = who.filter(|who| self.sessions.secret_of(*who) == Some(secret)) else {
+            return self.pass_cancel(session, secret);
         };
-        if self.sessions.secret_of(who) != Some(secret) {
-            return;
-        }
         // What it names may have come before it over the other connection and still wait for its turn there.
         self.read_now(who);
         let Some(live) = self.sessions.table.hot_mut(who) else { return };
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -105,6 +105,9 @@
     asked_us: u64,
     /// The first call of its job is not written before this.
     rests_until_us: u64,
+    /// An answer came sooner than the engine gives such: it may have been a second one to the call before, and then
+    /// one is still to come when the last seems to be here.
+    doubtful: bool,
 }
 
 impl Link {
@@ -378,7 +381,14 @@
         let ahead = if tongue == Tongue::Http { 2 * http::MAX_ANSWER } else { 512 * 1024 };
         match self.dial(address, key, ahead) {
             Ok(conn) => {
-                let link = Link { engine, job, wire, asked_us: self.time.now_us, rests_until_us: 0 };
+                let link = Link {
+                    engine,
+                    job,
+                    wire,
+                    asked_us: self.time.now_us,
+                    rests_until_us: 0,
+                    doubtful: false,
+                };
                 self.pools.put(at, conn, link);
                 self.counters.engine_connects += 1;
                 let give_up = matches!(job, Job::Delete(_));
@@ -622,7 +632,11 @@
             Wire::Http => true,
             Wire::MySql(s) => s.is_up(),
         };
-        let clean = free && conn.phase == Phase::Open && conn.input.is_empty() && conn.output.is_empty();
+        let clean = free
+            && !link.doubtful
+            && conn.phase == Phase::Open
+            && conn.input.is_empty()
+            && conn.output.is_empty();
         match self.pools.engines.get_mut(&link.engine) {
             Some(e) if clean && e.state != EngineState::Gone => e.idle[link.tongue() as usize].push(at),
             _ => {
@@ -705,6 +719,9 @@
                 }
                 match step {
                     http::Step::Asked => {
+                        // Where there is no news the engine takes its time to say so.
+                        let soon = now_us < link.asked_us + REST_US;
+                        link.doubtful |= response.status == 202 && response.note.is_none() && soon;
                         let note = response.note.unwrap_or(Note::Running);
                         self.inputs.push(Input::Noted(id.0, id.1, note));
                         if response.close {
--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -30,6 +30,8 @@
 pub struct Inheritance {
     pub listeners: Vec<TcpListener>,
     pub words: Vec<Word>,
+    /// Whether the older process takes cancels.
+    pub cancels: bool,
     /// The connection, for as long as both live, and what came over it behind the state.
     pub stream: UnixStream,
     pub rest: Vec<u8>,
@@ -73,8 +75,8 @@
     let (mut taken, mut chunk) = (0, [0; 16 * 1024]);
     loop {
         while let Some(word) = handover::next(&mut input).map_err(bad)? {
-            if word == Word::End {
-                return Ok(Inheritance { listeners, words, stream, rest: input });
+            if let Word::End { cancels } = word {
+                return Ok(Inheritance { listeners, words, cancels, stream, rest: input });
             }
             words.push(word);
         }
@@ -122,6 +124,8 @@
     stream: UnixStream,
     serial: u32,
     role: Role,
+    /// It takes cancels.
+    cancels: bool,
     input: Vec<u8>,
     output: Vec<u8>,
 }
@@ -165,7 +169,8 @@
         stream.set_nonblocking(true)?;
         self.serials = self.serials.wrapping_add(1);
         poll.add(&stream, HANDOVER | u64::from(self.serials), READS, Told::Always)?;
-        self.peers.push(Peer { stream, serial: self.serials, role, input, output: Vec::new() });
+        let (serial, cancels) = (self.serials, false);
+        self.peers.push(Peer { stream, serial, role, cancels, input, output: Vec::new() });
         Ok(())
     }
 
@@ -231,11 +236,12 @@
     }
 
     /// This process serves from here on: says so to the older one, and listens for the next.
-    pub(super) fn found_family(&mut self, elder: Option<(UnixStream, Vec<u8>)>) {
+    pub(super) fn found_family(&mut self, elder: Option<(UnixStream, Vec<u8>, bool)>) {
         self.family.path = path(&self.config);
-        if let Some((stream, rest)) = elder {
+        if let Some((stream, rest, cancels)) = elder {
             match self.family.join(&self.poll, stream, Role::Elder, rest) {
                 Ok(()) => {
+                    self.family.peers[0].cancels = cancels;
                     Word::Taking.write(&mut self.family.peers[0].output);
                     self.peer_ready(HANDOVER | u64::from(self.family.serials));
                 }
@@ -309,6 +315,10 @@
                 self.roster.remember(&name);
                 self.change_by_hand(&name, Some(ms)).is_ok()
             }
+            (Role::Taker, Word::Cancel { session, secret }) => {
+                self.cancel(session, secret);
+                true
+            }
             _ => {
                 tracing::error!("another process says what it has no place to say");
                 false
@@ -322,7 +332,7 @@
         self.roster.names().for_each(|(name, ms)| Word::Known(name.to_owned(), ms).write(&mut out));
         self.roster.listed().for_each(|l| Word::Listed(l.clone()).write(&mut out));
         self.roster.out().for_each(|name| Word::Enter(name.to_owned()).write(&mut out));
-        Word::End.write(&mut out);
+        Word::End { cancels: true }.write(&mut out);
         let peer = &mut self.family.peers[at];
         let fds: Vec<_> = self.doors.listeners().map(AsFd::as_fd).collect();
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
@@ -344,6 +354,16 @@
         }
     }
 
+    /// A CancelRequest names no session here: it may be one of the older process, whose clients call here too.
+    pub(super) fn pass_cancel(&mut self, session: u32, secret: u32) {
+        if let Some(at) = self.family.peers.iter().position(|p| p.role == Role::Elder && p.cancels) {
+            Word::Cancel { session, secret }.write(&mut self.family.peers[at].output);
+            if self.family.flush(&self.poll, at).is_err() {
+                self.peer_gone(at);
+            }
+        }
+    }
+
     fn peer_gone(&mut self, at: usize) {
         let peer = self.family.peers.remove(at);
         self.poll.remove(&peer.stream);
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -157,7 +157,10 @@
             timers: Wheel::new(),
             lateness: Lateness::default(),
             doors,
-            sessions: Sessions::new(&config),
+            sessions: Sessions::new(
+                &config,
+                unix.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(40),
+            ),
             requests: Requests::default(),
             pools: pools::Pools::default(),
             feed: feed::Feed::new(last, config.seed as u32 as f64 / f64::from(u32::MAX)),
@@ -174,7 +177,7 @@
         known.iter().for_each(|event| server.listed(event));
         let elder = inheritance.map(|i| {
             server.take_over(i.words);
-            (i.stream, i.rest)
+            (i.stream, i.rest, i.cancels)
         });
         // Whoever calls first finds the core with all that is known.
         server.turn();
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -279,7 +279,9 @@
 }
 
 impl Sessions {
-    pub fn new(config: &Config) -> Self {
+    /// `salt` is this process's own: another one of the same gateway may have the same seed, and a CancelRequest must
+    /// not name a session of each.
+    pub fn new(config: &Config, salt: u64) -> Self {
         let most = most_clients(config);
         let share = config.memory / MESSAGES / most.max(1);
         let longest_message = share.clamp(*LONGEST_MESSAGE.start(), *LONGEST_MESSAGE.end());
@@ -302,7 +304,7 @@
             most,
             longest_message,
             handles: Rc::new(Cell::new((config.seed as u32).max(1))),
-            secrets: config.seed,
+            secrets: config.seed ^ salt,
             idle_timer: None,
         }
     }
--- a/gateway/src/net/shutdown.rs
+++ b/gateway/src/net/shutdown.rs
@@ -10,8 +10,9 @@
 
 /// How long new work is still taken after SIGTERM, in microseconds.
 const TAKING_US: u64 = 700_000;
-/// SIGKILL comes no sooner after that than the longest deadline, which counts as this at most.
-const LONGEST_DEADLINE_US: u64 = 3_000_000;
+/// SIGKILL comes no sooner after that than the longest deadline, which counts as this at most: at a restart, and where
+/// a newer process has taken the place.
+const LONGEST_DEADLINE_US: (u64, u64) = (3_000_000, 5_000_000);
 /// What is not answered so long before is given up: the answer must be written and read by then.
 const SPARE_US: u64 = 300_000;
 /// How long clients may take to end their side once this one has ended: bytes that cross the end are read and
@@ -21,6 +22,7 @@
 /// How far the end has come.
 pub struct Shutdown {
     since_us: Option<u64>,
+    longest_deadline_us: u64,
     /// From SIGTERM till everything must have its answer.
     answered_us: u64,
     listeners_closed: bool,
@@ -31,10 +33,10 @@
 impl Shutdown {
     pub(super) fn new(settings: &Settings) -> Self {
         let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        let longest_us = ((longest * 1e6) as u64).min(LONGEST_DEADLINE_US);
         Self {
             since_us: None,
-            answered_us: (TAKING_US + longest_us).saturating_sub(SPARE_US).max(TAKING_US),
+            longest_deadline_us: (longest * 1e6) as u64,
+            answered_us: TAKING_US,
             listeners_closed: false,
             given_up: false,
             parting_since_us: None,
@@ -55,6 +57,9 @@
         }
         let now_us = self.time.now_us;
         self.shutdown.since_us = Some(now_us);
+        let most = if self.family.is_alone() { LONGEST_DEADLINE_US.0 } else { LONGEST_DEADLINE_US.1 };
+        let killed_us = TAKING_US + self.shutdown.longest_deadline_us.min(most);
+        self.shutdown.answered_us = killed_us.saturating_sub(SPARE_US).max(TAKING_US);
         self.timers.arm(now_us + TAKING_US, Alarm::Going);
         self.timers.arm(now_us + self.shutdown.answered_us, Alarm::Going);
         tracing::info!("SIGTERM: taking for 0.7 s more");
--- a/gateway/tests/common/script.rs
+++ b/gateway/tests/common/script.rs
@@ -159,6 +159,11 @@
         self.reader.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// The same to one that may have ended the connection.
+    pub fn try_say(&mut self, text: &str) -> bool {
+        self.reader.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     /// The head of a stream of the list.
     pub fn stream(&mut self) {
         self.say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -99,6 +99,29 @@
     assert!(log.contains("left=5"), "{log}");
 }
 
+/// All leave in the very turn in which the engine comes that would serve them.
+#[test]
+fn who_leaves_as_an_engine_comes_has_it_sent_nowhere() {
+    let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    let gateway = Gateway::scripted(&engine.entry("Terminating"), Some(coordinator.address), "", None, |t| t);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let mut clients: Vec<_> = (0..60).map(|_| pg::Client::connect(gateway.pg)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&text("load", n as u64));
+        taken(&gateway, n as u64);
+    }
+    gateway.paused(|| {
+        watch.event(2, &engine.entry("Ready"));
+        drop(clients);
+    });
+    let ran = ran();
+    run_all(engine, ran.clone());
+    let n = served(&gateway, "load", 100);
+    assert_eq!(*ran.lock().unwrap(), [id(n)]);
+    (0..60).for_each(|n| left(&gateway, n));
+}
+
 #[test]
 fn who_leaves_while_its_connection_comes_up_has_it_sent_nowhere() {
     let may_not: fn(String) -> String = |t| no_cancel(patient_connects(t));
@@ -239,6 +262,31 @@
     }
 }
 
+/// The second answer to a call that asks for news makes the next call's look like an answer too many: the connection
+/// seems to be at rest while one is still to come, from an engine that stands still for longer than it rests.
+#[test]
+fn a_connection_with_one_answer_too_many_carries_nobody_else() {
+    let engine = Peer::new("e1");
+    let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
+    let (mut client, mut other) = (pg::Client::connect(gateway.pg), pg::Client::connect(gateway.pg));
+    client.send(&text("lookup", 1));
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    let later = "HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n";
+    wire.say(later);
+    assert_eq!(wire.call().verb, "GET");
+    wire.say(later);
+    assert_eq!(wire.call().verb, "GET");
+    wire.row(&id(1));
+    assert_eq!(client.answer(), rows(1));
+    thread::sleep(Duration::from_millis(40));
+    other.send(&text("lookup", 2));
+    thread::sleep(Duration::from_millis(40));
+    wire.try_say(&row(&id(1)));
+    run_all(engine, ran());
+    assert_eq!(other.answer(), rows(2), "not what was the first one's");
+}
+
 /// Settings in which a class may be repeated for so many seconds.
 fn keyed(config: &str, class: &str, window: f64) -> String {
     let token =
--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -222,3 +222,23 @@
     ask(&mut client, "lookup", 9_000, 5);
     assert_eq!(new.call("PUT /maintenance/exit/e2").0, 200);
 }
+
+/// Clients call one address, whichever process holds their session.
+#[test]
+fn a_cancel_reaches_the_process_that_has_the_request() {
+    let seen = Seen::default();
+    let engine = Engine::start("e1", &seen, 20_000);
+    let gateway = Gateway::start_with_door(&[&engine]);
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text("report", 1).replace("d=2500", "d=20000"));
+    while seen.count() == 0 {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let new = gateway.successor();
+    gateway.logged("a newer process takes the clients");
+    pg::Client::cancel(new.pg, client.key);
+    match client.answer() {
+        pg::Answer::Error(code, _) => assert_eq!(code, "57014", "{} {}", gateway.log(), new.log()),
+        other => panic!("{other:?}"),
+    }
+}
