--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -373,6 +373,22 @@
     assert!(gateway.log().matches("sent ticket=").count() == 2, "{}", gateway.log());
 }
 
+#[test]
+fn a_drain_told_in_the_turn_in_which_a_request_comes_holds() {
+    let (one, two, coordinator) = (Peer::new("e1"), Peer::new("e2"), Peer::new("c"));
+    let gateway = Gateway::scripted(&one.entry("Ready"), Some(coordinator.address), "", None, |t| t);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let mut client = pg::Client::connect(gateway.pg);
+    gateway.paused(|| {
+        client.send(&text("load", 1));
+        watch.event(2, &format!("{},{}", one.entry("Terminating"), two.entry("Ready")));
+    });
+    run_all(two, ran());
+    assert_eq!(client.answer(), rows(1));
+    assert!(one.is_left_alone());
+}
+
 #[test]
 fn calls_for_an_engine_that_has_gone_do_not_reach_who_has_its_address() {
     let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
