--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -122,7 +122,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Alarm {
+enum Timer {
     Module(u64),
     Attempt(RequestId, u32),
     Deadline(RequestId),
@@ -139,7 +139,7 @@
     open: BTreeMap<RequestId, Open>,
     out: BTreeMap<(RequestId, u32), Out>,
     states: BTreeMap<EngineId, EngineState>,
-    alarms: Wheel<Alarm>,
+    timers: Wheel<Timer>,
     lateness: Lateness,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -171,7 +171,7 @@
             open: BTreeMap::new(),
             out: BTreeMap::new(),
             states: BTreeMap::new(),
-            alarms: Wheel::new(),
+            timers: Wheel::new(),
             lateness: Lateness::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -189,8 +189,8 @@
     }
 
     /// When the next turn is due although nothing comes in.
-    pub fn next_alarm_us(&self) -> Option<u64> {
-        self.alarms.next_us()
+    pub fn next_timer_us(&self) -> Option<u64> {
+        self.timers.next_us()
     }
 
     /// How late its timers have fired.
@@ -200,7 +200,7 @@
 
     /// Timers that are armed: one for each open request, one for each attempt with a limit, the module's.
     pub fn timers(&self) -> usize {
-        self.alarms.len()
+        self.timers.len()
     }
 
     /// One turn: all that came in, then the timers that are due, then what follows from them.
@@ -209,9 +209,9 @@
             self.take(now_us, input, commands);
             self.drive(now_us, commands);
         }
-        while let Some((due_us, alarm)) = self.alarms.pop(now_us) {
+        while let Some((due_us, timer)) = self.timers.pop(now_us) {
             self.lateness.note(due_us, now_us);
-            self.ring(now_us, alarm, commands);
+            self.ring(now_us, timer, commands);
             self.drive(now_us, commands);
         }
     }
@@ -230,7 +230,7 @@
             Input::Asked(id, ask) => {
                 let deadline_us = ask.deadline_us.saturating_sub(MARGIN_US);
                 // The module plans the end itself; this guards against one that does not.
-                let deadline = self.alarms.arm(deadline_us, Alarm::Deadline(id));
+                let deadline = self.timers.arm(deadline_us, Timer::Deadline(id));
                 let open = Open {
                     class: ask.class,
                     deadline_us,
@@ -305,7 +305,7 @@
     fn close(&mut self, id: RequestId) -> Option<Open> {
         let open = self.open.remove(&id)?;
         for timer in &open.plans {
-            self.alarms.cancel(*timer);
+            self.timers.cancel(*timer);
         }
         Some(open)
     }
@@ -314,7 +314,7 @@
     fn take_back(&mut self, id: RequestId, attempt: u32) -> Option<Out> {
         let out = self.out.remove(&(id, attempt))?;
         if let Some(timer) = out.timer {
-            self.alarms.cancel(timer);
+            self.timers.cancel(timer);
         }
         Some(out)
     }
@@ -354,11 +354,11 @@
         self.tell_end(now_us, (id, attempt), out, Outcome::TimedOut, true, None);
     }
 
-    fn ring(&mut self, now_us: u64, alarm: Alarm, commands: &mut Vec<Command>) {
-        match alarm {
-            Alarm::Module(token) => self.events.push_back(Event::Timer(token)),
-            Alarm::Attempt(id, attempt) => self.stop(id, attempt, commands),
-            Alarm::Deadline(id) => {
+    fn ring(&mut self, now_us: u64, timer: Timer, commands: &mut Vec<Command>) {
+        match timer {
+            Timer::Module(token) => self.events.push_back(Event::Timer(token)),
+            Timer::Attempt(id, attempt) => self.stop(id, attempt, commands),
+            Timer::Deadline(id) => {
                 if let Some(open) = self.open.get(&id) {
                     debug_assert!(now_us >= open.deadline_us);
                     self.events.push_back(Event::Aborted(id));
@@ -431,10 +431,10 @@
             }
             Action::Fail(request) => self.answer_unserved(request, None, false, commands),
             Action::SetTimer { delay, token, of } => {
-                let timer = self.alarms.arm(now_us + micros(delay), Alarm::Module(token));
+                let timer = self.timers.arm(now_us + micros(delay), Timer::Module(token));
                 match of.map(|id| self.open.get_mut(&id)) {
                     Some(Some(open)) => open.plans.push(timer),
-                    Some(None) => drop(self.alarms.cancel(timer)),
+                    Some(None) => drop(self.timers.cancel(timer)),
                     None => {}
                 }
             }
@@ -465,7 +465,7 @@
             return;
         }
         if timeout.is_some() {
-            let timer = self.alarms.arm(until_us, Alarm::Attempt(id, attempt));
+            let timer = self.timers.arm(until_us, Timer::Attempt(id, attempt));
             if let Some(out) = self.out.get_mut(&(id, attempt)) {
                 out.timer = Some(timer);
             }
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -56,7 +56,7 @@
     fn pass(&mut self, span_us: u64) -> Vec<Command> {
         let end = self.now_us + span_us;
         let mut commands = Vec::new();
-        while let Some(at) = self.core.next_alarm_us().filter(|at| *at <= end) {
+        while let Some(at) = self.core.next_timer_us().filter(|at| *at <= end) {
             self.now_us = self.now_us.max(at);
             commands.extend(self.turn(Vec::new()));
         }
@@ -303,12 +303,12 @@
 #[test]
 fn a_core_with_nothing_asked_wants_no_turn() {
     let mut bench = Bench::new();
-    assert_eq!(bench.core.next_alarm_us(), None, "engines alone need no look");
+    assert_eq!(bench.core.next_timer_us(), None, "engines alone need no look");
     let (id, attempt, _) = started(&bench.ask(1, LOOKUP, 3 * SECOND)).unwrap();
     assert!(bench.core.timers() >= 2, "its deadline, and the module's look");
     bench.turn(vec![Input::Ended(id, attempt, Outcome::Success, None)]);
     bench.pass(100_000);
-    assert_eq!((bench.core.timers(), bench.core.next_alarm_us()), (0, None));
+    assert_eq!((bench.core.timers(), bench.core.next_timer_us()), (0, None));
     assert!(started(&bench.ask(2, LOOKUP, 3 * SECOND)).is_some());
-    assert!(bench.core.next_alarm_us().is_some_and(|at| at <= bench.now_us + 50_000), "it looks again");
+    assert!(bench.core.next_timer_us().is_some_and(|at| at <= bench.now_us + 50_000), "it looks again");
 }
--- a/gateway/src/figures.rs
+++ b/gateway/src/metrics.rs
@@ -6,7 +6,7 @@
 
 /// What is counted of one class.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClassFigures {
+pub struct ClassMetrics {
     /// Requests served.
     pub served: u64,
     /// Requests refused.
@@ -41,18 +41,18 @@
 
 /// The figures of all classes.
 #[derive(Clone, Debug)]
-pub struct Figures {
-    classes: Vec<(String, ClassFigures)>,
+pub struct Metrics {
+    classes: Vec<(String, ClassMetrics)>,
 }
 
-impl Figures {
+impl Metrics {
     /// Nothing counted yet, for classes of these names.
     pub fn new<'a>(names: impl IntoIterator<Item = &'a str>) -> Self {
-        Self { classes: names.into_iter().map(|n| (n.to_owned(), ClassFigures::default())).collect() }
+        Self { classes: names.into_iter().map(|n| (n.to_owned(), ClassMetrics::default())).collect() }
     }
 
     /// The figures of a class. Classes come from the settings, so that it is always there.
-    pub fn class(&mut self, class: ClassId) -> &mut ClassFigures {
+    pub fn class(&mut self, class: ClassId) -> &mut ClassMetrics {
         &mut self.classes[class.0].1
     }
 
@@ -89,21 +89,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn each_figure_has_a_line_of_its_own() {
-        let mut figures = Figures::new(["lookup", "load"]);
-        figures.ended(ClassId(0), Ending::Served);
-        figures.ended(ClassId(1), Ending::Refused);
-        figures.ended(ClassId(1), Ending::Failed);
-        figures.class(ClassId(1)).attempts += 2;
-        let text = figures.text(Now { in_flight: 3, engines_known: 8, engines_excluded: 1 });
-        let wanted = "edge_lb.served.lookup=1\nedge_lb.refused.lookup=0\nedge_lb.failed.lookup=0\n\
-                      edge_lb.attempts.lookup=0\nedge_lb.served.load=0\nedge_lb.refused.load=1\n\
-                      edge_lb.failed.load=1\nedge_lb.attempts.load=2\nedge_lb.in_flight=3\n\
-                      edge_lb.engines_known=8\nedge_lb.engines_excluded=1\n";
-        assert_eq!(text, wanted);
-    }
-}
+mod tests;
--- /dev/null
+++ b/gateway/src/metrics/tests.rs
@@ -0,0 +1,16 @@
+use super::*;
+
+#[test]
+fn each_figure_has_a_line_of_its_own() {
+    let mut metrics = Metrics::new(["lookup", "load"]);
+    metrics.ended(ClassId(0), Ending::Served);
+    metrics.ended(ClassId(1), Ending::Refused);
+    metrics.ended(ClassId(1), Ending::Failed);
+    metrics.class(ClassId(1)).attempts += 2;
+    let text = metrics.text(Now { in_flight: 3, engines_known: 8, engines_excluded: 1 });
+    let wanted = "edge_lb.served.lookup=1\nedge_lb.refused.lookup=0\nedge_lb.failed.lookup=0\n\
+                  edge_lb.attempts.lookup=0\nedge_lb.served.load=0\nedge_lb.refused.load=1\n\
+                  edge_lb.failed.load=1\nedge_lb.attempts.load=2\nedge_lb.in_flight=3\n\
+                  edge_lb.engines_known=8\nedge_lb.engines_excluded=1\n";
+    assert_eq!(text, wanted);
+}
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -8,14 +8,14 @@
 use wrenhatch_sessions::table::{Ended, Handle, Use};
 
 use super::conn::{Conn, MOST_UNSENT, Phase, ReadEnd};
-use super::doors::{self, Front};
+use super::listeners::{self, Front};
 use super::poll::Interest;
 use super::sessions::{CLOSE_US, Session, Sessions, UNFINISHED_US};
-use super::{Alarm, Request, Server};
+use super::{Request, Server, Timer};
 use crate::config::Names;
 use crate::core::{Ask, Command, Input};
-use crate::figures::Ending;
 use crate::front::{Answer, Demand, Payload, Want, fields};
+use crate::metrics::Ending;
 use crate::mysql::ResultSet;
 
 /// Clients beyond all places that are being told so.
@@ -47,7 +47,7 @@
                 false => return,
             }
         }
-        if let Err(e) = doors::keep_alive(&stream, &self.config) {
+        if let Err(e) = listeners::keep_alive(&stream, &self.config) {
             tracing::debug!("keepalive: {e}");
         }
         let who = self.sessions.table.next_handle();
@@ -292,7 +292,7 @@
             return self.client_messages(who);
         }
         let due_us = live.due_us();
-        self.timers.keep(&mut live.timer, due_us, Alarm::Client(who));
+        self.timers.keep(&mut live.timer, due_us, Timer::Client(who));
         let (used, since_us) = (live.used(), live.owes_us.unwrap_or(now_us));
         if live.has_more() {
             live.more = false;
@@ -317,7 +317,7 @@
         }
         let oldest = [Use::Idle, Use::Keeping].map(|used| self.sessions.table.oldest(used));
         if let Some(since_us) = oldest.into_iter().flatten().map(|(_, since_us)| since_us).min() {
-            self.sessions.idle_timer = Some(self.timers.arm(since_us + limit_us, Alarm::IdleLimit));
+            self.sessions.idle_timer = Some(self.timers.arm(since_us + limit_us, Timer::IdleLimit));
         }
     }
 
@@ -408,7 +408,7 @@
         if going || full || short || late {
             // Nothing was sent: trying again, elsewhere for one that ends, is harmless.
             self.counters.refused += 1;
-            self.figures.ended(class, Ending::Refused);
+            self.metrics.ended(class, Ending::Refused);
             self.counters.too_late += u64::from(late);
             self.counters.no_memory += u64::from(short);
             let tells = self.config.settings.allowed.retry_after && (short || late);
@@ -527,7 +527,7 @@
             Answer::Failed(_) | Answer::Cancelled => (&mut self.counters.failed, Ending::Failed),
         };
         *counter += 1;
-        self.figures.ended(request.class, ending);
+        self.metrics.ended(request.class, ending);
         let who = request.client;
         let Some(live) = self.sessions.table.hot_mut(who) else { return };
         if live.open == Some(id) {
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -10,7 +10,7 @@
 use super::conn::{Phase, ReadEnd};
 use super::poll::Interest;
 use super::pools::{Peer, Pools};
-use super::{Alarm, Request, Server};
+use super::{Request, Server, Timer};
 use crate::config::{ListEvent, Listed, Names};
 use crate::core::Input;
 use crate::engine::{http, mysql};
@@ -455,8 +455,8 @@
         let Some(peer) = self.pools.peers.get(at).and_then(Option::as_ref) else { return };
         let due_us = self.link_due_us(peer);
         if let Some(peer) = self.pools.peer(at) {
-            let alarm = Alarm::Link(at, peer.serial);
-            self.timers.keep(&mut peer.timer, due_us, alarm);
+            let what = Timer::Link(at, peer.serial);
+            self.timers.keep(&mut peer.timer, due_us, what);
         }
     }
 
@@ -585,7 +585,7 @@
                 self.counters.sent += 1;
                 let class = self.requests.open.get(&id.0).map(|r| r.class);
                 if let Some(class) = class {
-                    self.figures.class(class).attempts += 1;
+                    self.metrics.class(class).attempts += 1;
                 }
                 tracing::debug!(
                     ticket = attempt.ticket,
@@ -979,7 +979,7 @@
         if let Course::Http { exchange, .. } = &mut attempt.course {
             exchange.give_up();
         }
-        attempt.unheard = Some(self.timers.arm(self.time.now_us + UNHEARD_US, Alarm::Unheard(id)));
+        attempt.unheard = Some(self.timers.arm(self.time.now_us + UNHEARD_US, Timer::Unheard(id)));
         match self.link(engine, Job::Delete(id), tongue, None) {
             Ok(at) => self.post_if_up(at),
             Err(outcome) => {
--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -295,7 +295,9 @@
     fn peer_says(&mut self, at: usize, word: Word) -> bool {
         match (self.family.peers[at].role, word) {
             (Role::Caller, Word::Hello { name, listen }) => {
-                if name != self.config.name || listen.port() != 0 && Some(listen) != self.doors.pg_address() {
+                if name != self.config.name
+                    || listen.port() != 0 && Some(listen) != self.listeners.pg_address()
+                {
                     tracing::error!(%name, %listen, "a process of another gateway asks for this one's place");
                     return false;
                 }
@@ -304,7 +306,7 @@
             (Role::Heir, Word::Taking) => {
                 tracing::info!("a newer process takes the clients");
                 self.family.peers[at].role = Role::Taker;
-                self.doors.hand_over(&self.poll);
+                self.listeners.hand_over(&self.poll);
                 true
             }
             (Role::Elder | Role::Heir | Role::Taker, Word::Enter(name)) => {
@@ -334,7 +336,7 @@
         self.roster.out().for_each(|name| Word::Enter(name.to_owned()).write(&mut out));
         Word::End { cancels: true }.write(&mut out);
         let peer = &mut self.family.peers[at];
-        let fds: Vec<_> = self.doors.listeners().map(AsFd::as_fd).collect();
+        let fds: Vec<_> = self.listeners.all().map(AsFd::as_fd).collect();
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
         let mut control = SendAncillaryBuffer::new(&mut space);
         let sent = control.push(SendAncillaryMessage::ScmRights(&fds)).then(|| {
@@ -370,7 +372,7 @@
         // Whoever had taken this one's place, and the path to it, has ended first: all is as it was.
         if peer.role == Role::Taker && !self.shutdown.has_begun() && !self.family.is_followed() {
             tracing::warn!("the newer process has ended: taking clients again");
-            self.doors.take_back(&self.poll);
+            self.listeners.take_back(&self.poll);
             self.family.listen(&self.poll);
         }
     }
--- a/gateway/src/net/doors.rs
+++ b/gateway/src/net/listeners.rs
@@ -8,7 +8,7 @@
 use wrenhatch_sessions::governor::Work;
 
 use super::poll::{Interest, Poll, Told};
-use super::{Alarm, MYSQL_LISTENER, PG_LISTENER, ServeError, Server};
+use super::{MYSQL_LISTENER, PG_LISTENER, ServeError, Server, Timer};
 use crate::config::Config;
 
 /// Where descriptors have run out and nobody yields one, nobody is accepted for so long.
@@ -35,7 +35,7 @@
 }
 
 /// The listeners.
-pub struct Doors {
+pub struct Listeners {
     pg: Option<TcpListener>,
     mysql: Option<TcpListener>,
     /// A descriptor kept back, so that one who can't be held can be accepted and told so.
@@ -46,10 +46,10 @@
     handed_over: bool,
 }
 
-const KNOCKS: Interest = Interest { read: true, write: false };
+const ACCEPTS: Interest = Interest { read: true, write: false };
 const NOTHING: Interest = Interest { read: false, write: false };
 
-impl Doors {
+impl Listeners {
     /// Listens where the configuration says, with what an older process has left where it is that.
     pub fn open(config: &Config, poll: &Poll, left: Vec<TcpListener>) -> Result<Self, ServeError> {
         let backlog = config.clients.backlog;
@@ -61,7 +61,7 @@
                 None => listener(address, backlog, config.ops.is_some())
                     .map_err(|e| ServeError::Listen(address, e))?,
             };
-            poll.add(&listener, front.key(), KNOCKS, Told::Always)?;
+            poll.add(&listener, front.key(), ACCEPTS, Told::Always)?;
             Ok(listener)
         };
         Ok(Self {
@@ -92,7 +92,7 @@
         }
     }
 
-    fn watch(&mut self, poll: &Poll, interest: Interest) {
+    fn set_interest(&mut self, poll: &Poll, interest: Interest) {
         self.shut = interest == NOTHING;
         for front in [Front::Pg, Front::MySql] {
             let changed = self.listener(front).map(|l| poll.change(l, front.key(), interest, Told::Always));
@@ -103,7 +103,7 @@
     }
 
     /// All listeners.
-    pub fn listeners(&self) -> impl Iterator<Item = &TcpListener> {
+    pub fn all(&self) -> impl Iterator<Item = &TcpListener> {
         self.pg.iter().chain(&self.mysql)
     }
 
@@ -115,7 +115,7 @@
     /// A newer process accepts from the same queues: nobody is accepted here.
     pub fn hand_over(&mut self, poll: &Poll) {
         self.handed_over = true;
-        self.watch(poll, NOTHING);
+        self.set_interest(poll, NOTHING);
     }
 
     /// Whether a newer process accepts from these queues.
@@ -132,13 +132,13 @@
     /// Listens again.
     pub fn resume(&mut self, poll: &Poll) {
         if self.shut && !self.handed_over {
-            self.watch(poll, KNOCKS);
+            self.set_interest(poll, ACCEPTS);
         }
     }
 
     /// Accepts one connection with the descriptor kept back, tells it that there is no place, and closes it.
     /// False if not even that can be done.
-    fn tell_off(&mut self, front: Front, word: &[u8]) -> bool {
+    fn turn_one_away(&mut self, front: Front, word: &[u8]) -> bool {
         if self.spare.take().is_none() {
             return false;
         }
@@ -177,7 +177,7 @@
     /// Accepts as many as the turn can carry; the rest is told of again at the next. False once nobody knocks.
     pub(super) fn accept(&mut self, front: Front) -> bool {
         for _ in 0..self.sessions.governor.accepts() {
-            let Some(listener) = self.doors.listener(front) else { return false };
+            let Some(listener) = self.listeners.listener(front) else { return false };
             match listener.accept() {
                 Ok((stream, from)) => {
                     self.sessions.governor.charge(Work::Accept, 1);
@@ -201,18 +201,18 @@
     }
 
     /// No descriptor is left, whatever the budget says. Whoever yields its place gives one; else the one who
-    /// knocks is told off with the spare one; else the doors are shut for a moment, or the loop would spin.
+    /// knocks is turned away with the spare one; else the listeners pause for a moment, or the loop would spin.
     fn find_descriptor(&mut self, front: Front) -> bool {
         if self.make_room() {
             return true;
         }
-        if self.doors.tell_off(front, &super::sessions::no_place(front)) {
+        if self.listeners.turn_one_away(front, &super::sessions::no_place(front)) {
             self.counters.turned_away += 1;
             return true;
         }
         tracing::warn!("no descriptor is left: nobody is accepted for a moment");
-        self.doors.watch(&self.poll, NOTHING);
-        self.timers.arm(self.time.now_us + SHUT_US, Alarm::Doors);
+        self.listeners.set_interest(&self.poll, NOTHING);
+        self.timers.arm(self.time.now_us + SHUT_US, Timer::Listeners);
         false
     }
 }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -1,23 +1,23 @@
 //! The network: one poll loop, connections, the descriptor budget, and engines' connection pools.
 //!
 //! A turn reads the clock once, gathers all that is ready, hands it to the core in one go and carries out
-//! the commands that come back. Each concern keeps its own state: `sessions` (clients), `pools` (engines), `feed`
-//! (the list), `doors` (listeners), and one timing wheel for whatever is due.
+//! the commands that come back. Each concern keeps its own state: `sessions` (clients), `pools` (engines), `watch`
+//! (the list), `listeners` (listeners), and one timing wheel for whatever is due.
 
 pub mod conn;
 pub mod poll;
 
 mod clients;
-mod doors;
 mod engines;
-mod feed;
 mod handover;
+mod listeners;
 mod ops;
 mod pools;
 mod reload;
 mod requests;
 mod sessions;
 mod shutdown;
+mod watch;
 
 pub use sessions::{PARKED_BYTES, SESSION_BYTES, most_clients as most_sessions};
 
@@ -34,11 +34,11 @@
 use crate::config::{Config, Names};
 use crate::core::{Command, Core, Input};
 use crate::counters::Counters;
-use crate::figures::Figures;
 use crate::lateness::Lateness;
+use crate::metrics::Metrics;
 use crate::roster::Roster;
 use conn::Conn;
-use doors::{Doors, Front};
+use listeners::{Front, Listeners};
 use poll::{Interest, Poll, Told};
 use requests::{Request, Requests};
 use sessions::Sessions;
@@ -56,7 +56,7 @@
 const HANDOVER: u64 = 1 << 60;
 const SESSION: u64 = 1 << 62;
 const LINK: u64 = 2 << 62;
-const FEED: u64 = 3 << 62;
+const WATCH: u64 = 3 << 62;
 
 /// Descriptors beside connections: listeners, poller, signals, standard streams, one being accepted, the spare.
 pub const OWN_DESCRIPTORS: usize = 32;
@@ -81,7 +81,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Alarm {
+enum Timer {
     /// Something must have happened on a connection to an engine.
     Link(usize, u32),
     /// The end of an attempt that was given up should have been heard by now.
@@ -91,11 +91,11 @@
     /// The session that has been idle for longest may have been so for too long.
     IdleLimit,
     /// The coordinator's stream is looked at.
-    Feed,
+    Watch,
     /// The configuration's file is read again; how often that has failed.
     Reload(u32),
     /// Descriptors may be there again for new connections.
-    Doors,
+    Listeners,
     /// Who calls for operators may have been there for too long.
     Callers,
     /// The time for taking new work is over.
@@ -117,17 +117,17 @@
     counters: Counters,
     poll: Poll,
     time: Time,
-    timers: Wheel<Alarm>,
+    timers: Wheel<Timer>,
     lateness: Lateness,
-    doors: Doors,
+    listeners: Listeners,
     sessions: Sessions,
     requests: Requests,
     pools: pools::Pools,
-    feed: feed::Feed,
+    watch: watch::Watch,
     ops: ops::Ops,
     family: handover::Family,
     roster: Roster,
-    figures: Figures,
+    metrics: Metrics,
     shutdown: shutdown::Shutdown,
     signals: Signals,
     inputs: Vec<Input>,
@@ -139,11 +139,11 @@
         let poll = Poll::new()?;
         let mut inheritance = handover::inherit(&config);
         let left = inheritance.as_mut().map(|i| std::mem::take(&mut i.listeners)).unwrap_or_default();
-        let doors = Doors::open(&config, &poll, left)?;
+        let listeners = Listeners::open(&config, &poll, left)?;
         let ops = ops::Ops::open(config.ops, &poll)?;
         let (last, known) = std::mem::take(&mut config.known);
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let figures = Figures::new(config.names.classes.iter().map(String::as_str));
+        let metrics = Metrics::new(config.names.classes.iter().map(String::as_str));
         let mut server = Self {
             core: Core::new(config.settings.clone(), config.seed)?,
             names: std::mem::take(&mut config.names),
@@ -156,24 +156,24 @@
             },
             timers: Wheel::new(),
             lateness: Lateness::default(),
-            doors,
+            listeners,
             sessions: Sessions::new(
                 &config,
                 unix.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(40),
             ),
             requests: Requests::default(),
             pools: pools::Pools::default(),
-            feed: feed::Feed::new(last, config.seed as u32 as f64 / f64::from(u32::MAX)),
+            watch: watch::Watch::new(last, config.seed as u32 as f64 / f64::from(u32::MAX)),
             ops,
             family: handover::Family::default(),
             roster: Roster::new(config.memory),
-            figures,
+            metrics,
             shutdown: shutdown::Shutdown::new(&config.settings),
             signals,
             inputs: Vec::new(),
             config,
         };
-        server.timers.arm(0, Alarm::Feed);
+        server.timers.arm(0, Timer::Watch);
         known.iter().for_each(|event| server.listed(event));
         let elder = inheritance.map(|i| {
             server.take_over(i.words);
@@ -192,7 +192,7 @@
 
     /// Where clients connect: PostgreSQL and MySQL.
     pub fn addresses(&self) -> (Option<String>, Option<String>) {
-        (self.doors.address(Front::Pg), self.doors.address(Front::MySql))
+        (self.listeners.address(Front::Pg), self.listeners.address(Front::MySql))
     }
 
     /// Serves until SIGTERM has come and all that was taken is answered. SIGUSR1 prints the counters, SIGHUP
@@ -209,11 +209,11 @@
             self.poll.wait(timeout, &mut ready)?;
             self.time.now_us = self.time.clock.elapsed().as_micros() as u64;
             self.counters.turns += 1;
-            let mut doors = [false; 2];
+            let mut connecting = [false; 2];
             for (key, interest) in ready.iter().copied() {
                 match (key, key >> 62 << 62) {
-                    (PG_LISTENER, _) => doors[0] = true,
-                    (MYSQL_LISTENER, _) => doors[1] = true,
+                    (PG_LISTENER, _) => connecting[0] = true,
+                    (MYSQL_LISTENER, _) => connecting[1] = true,
                     (TERM, _) => {
                         drain(&self.signals.term);
                         self.stop_taking();
@@ -234,7 +234,7 @@
                             self.link_ready(at, interest);
                         }
                     }
-                    (_, FEED) => self.feed_ready(key, interest),
+                    (_, WATCH) => self.watch_ready(key, interest),
                     (_, SESSION) => self.session_ready(key, interest),
                     (key, _) if key & OPS != 0 => self.caller_ready(key),
                     (key, _) if key & HANDOVER != 0 => self.peer_ready(key),
@@ -244,10 +244,11 @@
             self.ring();
             // What came from engines may have ended requests: that goes out before anything new is read. Where all
             // places are taken, those who have left are seen before anybody is turned away for them.
-            if doors.contains(&true) && self.sessions.is_full() {
+            if connecting.contains(&true) && self.sessions.is_full() {
                 self.read_sessions();
             }
-            for (front, _) in [Front::Pg, Front::MySql].into_iter().zip(doors).filter(|(_, open)| *open) {
+            for (front, _) in [Front::Pg, Front::MySql].into_iter().zip(connecting).filter(|(_, open)| *open)
+            {
                 self.accept(front);
             }
             self.read_sessions();
@@ -296,7 +297,7 @@
         if unsettled || !self.inputs.is_empty() || self.sessions.governor.waiting() > 0 {
             return Some(Duration::ZERO);
         }
-        let next_us = [self.timers.next_us(), self.core.next_alarm_us()].into_iter().flatten().min()?;
+        let next_us = [self.timers.next_us(), self.core.next_timer_us()].into_iter().flatten().min()?;
         Some(Duration::from_micros(next_us.saturating_sub(now_us)))
     }
 
@@ -304,7 +305,7 @@
     /// yields its own: what has been taken is worth more than who may ask some day.
     fn dial(&mut self, address: SocketAddr, key: u64, ahead: usize) -> io::Result<Conn> {
         match Conn::connect(&self.poll, address, key, ahead) {
-            Err(e) if doors::is_out_of_descriptors(&e) && self.make_room() => {
+            Err(e) if listeners::is_out_of_descriptors(&e) && self.make_room() => {
                 Conn::connect(&self.poll, address, key, ahead)
             }
             other => other,
@@ -312,20 +313,20 @@
     }
 
     fn ring(&mut self) {
-        while let Some((due_us, alarm)) = self.timers.pop(self.time.now_us) {
+        while let Some((due_us, timer)) = self.timers.pop(self.time.now_us) {
             self.lateness.note(due_us, self.time.now_us);
             self.sessions.governor.charge(Work::Event, 1);
-            match alarm {
-                Alarm::Link(at, serial) => self.link_late(at, serial),
-                Alarm::Unheard(id) => self.unheard(id),
-                Alarm::Client(who) => self.client_late(who),
-                Alarm::IdleLimit => self.close_long_idle(),
-                Alarm::Feed => self.look_at_feed(),
-                Alarm::Reload(failures) => self.reload(failures),
-                Alarm::Doors => self.doors.resume(&self.poll),
-                Alarm::Callers => self.callers_late(),
+            match timer {
+                Timer::Link(at, serial) => self.link_late(at, serial),
+                Timer::Unheard(id) => self.unheard(id),
+                Timer::Client(who) => self.client_late(who),
+                Timer::IdleLimit => self.close_long_idle(),
+                Timer::Watch => self.check_watch(),
+                Timer::Reload(failures) => self.reload(failures),
+                Timer::Listeners => self.listeners.resume(&self.poll),
+                Timer::Callers => self.callers_late(),
                 // The loop wakes up, and looks how far the end has come.
-                Alarm::Going => {}
+                Timer::Going => {}
             }
         }
     }
--- a/gateway/src/net/ops.rs
+++ b/gateway/src/net/ops.rs
@@ -8,9 +8,9 @@
 
 use super::conn::{Conn, Phase, ReadEnd};
 use super::poll::{Interest, Poll, Told};
-use super::{Alarm, OPS, OPS_LISTENER, ServeError, Server};
-use crate::figures::Now;
+use super::{OPS, OPS_LISTENER, ServeError, Server, Timer};
 use crate::handover::Word;
+use crate::metrics::Now;
 use crate::ops::{self, Call, No};
 use crate::roster::NeverListed;
 
@@ -40,7 +40,7 @@
     pub fn open(address: Option<SocketAddr>, poll: &Poll) -> Result<Self, ServeError> {
         let Some(address) = address else { return Ok(Self::default()) };
         let failed = |e| ServeError::Listen(address, e);
-        let listener = super::doors::listener(address, 64, false).map_err(failed)?;
+        let listener = super::listeners::listener(address, 64, false).map_err(failed)?;
         poll.add(&listener, OPS_LISTENER, Interest { read: true, write: false }, Told::Always)?;
         Ok(Self { listener: Some(listener), ..Self::default() })
     }
@@ -126,7 +126,7 @@
 
     fn await_callers(&mut self) {
         if let (None, Some(first)) = (self.ops.timer, self.ops.callers.first()) {
-            self.ops.timer = Some(self.timers.arm(first.since_us + PATIENCE_US, Alarm::Callers));
+            self.ops.timer = Some(self.timers.arm(first.since_us + PATIENCE_US, Timer::Callers));
         }
     }
 
@@ -140,7 +140,7 @@
                     engines_known: self.roster.known(),
                     engines_excluded: self.core.engines_avoided(self.time.now_us),
                 };
-                Ok(self.figures.text(now))
+                Ok(self.metrics.text(now))
             }
             Call::Enter(id) => self.by_hand(&id, true).map_err(|_| No::Engine),
             Call::Exit(id) => self.by_hand(&id, false).map_err(|_| No::Engine),
--- a/gateway/src/net/pools.rs
+++ b/gateway/src/net/pools.rs
@@ -8,7 +8,7 @@
 use super::conn::Conn;
 use super::engines::{Attempt, AttemptId, Engine, Link};
 use super::poll::Poll;
-use super::{Alarm, LINK};
+use super::{LINK, Timer};
 use crate::front::Payload;
 
 /// A connection to an engine.
@@ -79,7 +79,7 @@
     }
 
     /// The one place where a connection to an engine is closed.
-    pub fn close(&mut self, poll: &Poll, timers: &mut Wheel<Alarm>, at: usize) -> Option<Link> {
+    pub fn close(&mut self, poll: &Poll, timers: &mut Wheel<Timer>, at: usize) -> Option<Link> {
         let peer = self.peers.get_mut(at)?.take()?;
         if let Some((_, timer)) = peer.timer {
             timers.cancel(timer);
--- a/gateway/src/net/reload.rs
+++ b/gateway/src/net/reload.rs
@@ -1,6 +1,6 @@
 //! SIGHUP: the configuration's file is read again while the gateway serves.
 
-use super::{Alarm, Server};
+use super::{Server, Timer};
 use crate::config;
 
 /// Between two tries to read a file that may still be being written.
@@ -20,13 +20,13 @@
                 self.tell_differences(&fresh);
                 fresh.known.1.iter().for_each(|event| self.list_event(event));
                 match fresh.coordinator {
-                    Some(to) => self.move_feed(to),
+                    Some(to) => self.move_watch(to),
                     None => tracing::warn!("no coordinator is named any more: the old one is kept"),
                 }
             }
             Err(e) if failures + 1 < MOST_TRIES => {
                 tracing::debug!("configuration: {e}; trying again");
-                self.timers.arm(self.time.now_us + RETRY_US, Alarm::Reload(failures + 1));
+                self.timers.arm(self.time.now_us + RETRY_US, Timer::Reload(failures + 1));
             }
             Err(e) => tracing::error!("configuration: {e}; the old settings are kept"),
         }
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -12,7 +12,7 @@
 use wrenhatch_sessions::wheel::TimerId;
 
 use super::conn::{Conn, MOST_UNSENT, Phase};
-use super::doors::Front;
+use super::listeners::Front;
 use super::{SESSION, own_descriptors};
 use crate::config::Config;
 use crate::front::{Answer, Want, mysql, pg};
--- a/gateway/src/net/shutdown.rs
+++ b/gateway/src/net/shutdown.rs
@@ -4,8 +4,8 @@
 use notchridge::interface::Settings;
 
 use super::conn::Phase;
-use super::doors::Front;
-use super::{Alarm, Server};
+use super::listeners::Front;
+use super::{Server, Timer};
 use crate::core::Input;
 
 /// How long new work is still taken after SIGTERM, in microseconds.
@@ -60,8 +60,8 @@
         let most = if self.family.is_alone() { LONGEST_DEADLINE_US.0 } else { LONGEST_DEADLINE_US.1 };
         let killed_us = TAKING_US + self.shutdown.longest_deadline_us.min(most);
         self.shutdown.answered_us = killed_us.saturating_sub(SPARE_US).max(TAKING_US);
-        self.timers.arm(now_us + TAKING_US, Alarm::Going);
-        self.timers.arm(now_us + self.shutdown.answered_us, Alarm::Going);
+        self.timers.arm(now_us + TAKING_US, Timer::Going);
+        self.timers.arm(now_us + self.shutdown.answered_us, Timer::Going);
         tracing::info!("SIGTERM: taking for 0.7 s more");
     }
 
@@ -92,7 +92,7 @@
         match self.shutdown.parting_since_us {
             None => {
                 self.shutdown.parting_since_us = Some(now_us);
-                self.timers.arm(now_us + PARTING_US, Alarm::Going);
+                self.timers.arm(now_us + PARTING_US, Timer::Going);
                 self.part();
                 false
             }
@@ -103,12 +103,12 @@
     /// Who has connected and was not accepted yet is: closed with the listener, the connection would be reset
     /// under a request that the machine has taken. A newer process that listens at the same queue takes them itself.
     fn empty_listeners(&mut self) {
-        if !self.doors.is_handed_over() {
+        if !self.listeners.is_handed_over() {
             for front in [Front::Pg, Front::MySql] {
                 while self.accept(front) {}
             }
         }
-        self.doors.close(&self.poll);
+        self.listeners.close(&self.poll);
     }
 
     /// Looks once more at every client for what has come, which is refused now, and ends this side. One that
--- a/gateway/src/net/feed.rs
+++ b/gateway/src/net/watch.rs
@@ -6,7 +6,7 @@
 
 use super::conn::{Conn, Phase, ReadEnd};
 use super::poll::Interest;
-use super::{Alarm, FEED, Server};
+use super::{Server, Timer, WATCH};
 use crate::config::ListEvent;
 use crate::coordinator::{self, Rhythm};
 
@@ -22,7 +22,7 @@
 const MOST_AHEAD: usize = 1024;
 
 /// Where the stream stands.
-pub struct Feed {
+pub struct Watch {
     last: u64,
     up: Option<(Conn, coordinator::Stream)>,
     /// Tells this stream from others before it, for the poller.
@@ -42,7 +42,7 @@
     ahead: Vec<ListEvent>,
 }
 
-impl Feed {
+impl Watch {
     /// A stream behind event `last`; `chance`, from 0 to 1, is this gateway's own.
     pub(super) fn new(last: u64, chance: f64) -> Self {
         Self {
@@ -60,7 +60,7 @@
     }
 
     fn key(&self) -> u64 {
-        FEED | u64::from(self.serial)
+        WATCH | u64::from(self.serial)
     }
 
     /// When something must have happened: it must be up, something heard, or it may be opened again.
@@ -94,143 +94,145 @@
 
 impl Server {
     /// Opens the stream where it is down, drops it where it is silent.
-    pub(super) fn look_at_feed(&mut self) {
+    pub(super) fn check_watch(&mut self) {
         let now_us = self.time.now_us;
-        if self.feed.up.is_some() {
-            if now_us < self.feed.due_us() {
-                return self.await_feed();
+        if self.watch.up.is_some() {
+            if now_us < self.watch.due_us() {
+                return self.await_watch();
             }
             tracing::warn!("the coordinator is silent");
-            if self.feed.up.as_ref().is_some_and(|(_, stream)| stream.lines() > 0) {
-                self.feed.rhythm.was_silent();
+            if self.watch.up.as_ref().is_some_and(|(_, stream)| stream.lines() > 0) {
+                self.watch.rhythm.was_silent();
             }
-            self.close_feed();
+            self.close_watch();
             // Its silence was noticed at a time of this gateway's own.
-            self.feed.again_us = now_us;
+            self.watch.again_us = now_us;
         }
         let Some(address) = self.config.coordinator else { return };
         // A coordinator that ends its streams at once is not asked without a pause.
-        if now_us < self.feed.again_us {
-            return self.await_feed();
+        if now_us < self.watch.again_us {
+            return self.await_watch();
         }
-        self.pause_feed();
-        self.feed.serial = self.feed.serial.wrapping_add(1);
-        match self.dial(address, self.feed.key(), 1 << 20) {
+        self.pause_watch();
+        self.watch.serial = self.watch.serial.wrapping_add(1);
+        match self.dial(address, self.watch.key(), 1 << 20) {
             Ok(mut conn) => {
-                coordinator::open(self.feed.last, &mut conn.output);
-                self.feed.up = Some((conn, coordinator::Stream::new(self.config.memory)));
-                self.feed.rhythm.begins(now_us);
-                self.feed.opened_us = now_us;
+                coordinator::open(self.watch.last, &mut conn.output);
+                self.watch.up = Some((conn, coordinator::Stream::new(self.config.memory)));
+                self.watch.rhythm.begins(now_us);
+                self.watch.opened_us = now_us;
                 self.counters.list_connects += 1;
             }
             Err(e) => tracing::warn!("coordinator at {address}: {e}"),
         }
-        self.await_feed();
+        self.await_watch();
     }
 
     /// The stream is not opened again before a pause is over.
-    fn pause_feed(&mut self) {
+    fn pause_watch(&mut self) {
         let pause_us = RETRY_US as f64 * (0.75 + 0.5 * self.chance());
-        self.feed.again_us = self.time.now_us + pause_us as u64;
+        self.watch.again_us = self.time.now_us + pause_us as u64;
     }
 
     /// Sets the timer for what is due next.
-    fn await_feed(&mut self) {
-        let due_us = self.feed.due_us();
-        if !self.feed.timer.is_some_and(|timer| self.timers.rearm(timer, due_us)) {
-            self.feed.timer = Some(self.timers.arm(due_us, Alarm::Feed));
+    fn await_watch(&mut self) {
+        let due_us = self.watch.due_us();
+        if !self.watch.timer.is_some_and(|timer| self.timers.rearm(timer, due_us)) {
+            self.watch.timer = Some(self.timers.arm(due_us, Timer::Watch));
         }
     }
 
     /// Follows another coordinator from now on, behind the last event: the numbers go on.
-    pub(super) fn move_feed(&mut self, to: SocketAddr) {
+    pub(super) fn move_watch(&mut self, to: SocketAddr) {
         if self.config.coordinator.replace(to) == Some(to) {
             return;
         }
-        self.close_feed();
-        self.feed.again_us = 0;
-        self.look_at_feed();
+        self.close_watch();
+        self.watch.again_us = 0;
+        self.check_watch();
     }
 
     /// Takes in an event that the configuration holds, unless it is old.
     pub(super) fn list_event(&mut self, event: &ListEvent) {
-        if event.index > self.feed.last {
+        if event.index > self.watch.last {
             self.list_ahead();
-            self.feed.last = event.index;
+            self.watch.last = event.index;
             self.listed(event);
         }
     }
 
     /// Takes in what was kept for events before it that don't come.
     fn list_ahead(&mut self) {
-        let ahead = std::mem::take(&mut self.feed.ahead);
+        let ahead = std::mem::take(&mut self.watch.ahead);
         ahead.iter().for_each(|event| self.listed(event));
     }
 
-    pub(super) fn feed_ready(&mut self, key: u64, interest: Interest) {
-        if key != self.feed.key() {
+    pub(super) fn watch_ready(&mut self, key: u64, interest: Interest) {
+        if key != self.watch.key() {
             return;
         }
-        let Some((conn, _)) = &mut self.feed.up else { return };
+        let Some((conn, _)) = &mut self.watch.up else { return };
         if conn.phase == Phase::Connecting {
             if !interest.write && !interest.read {
                 return;
             }
             if conn.finish_connect().is_err() {
-                return self.feed_lost();
+                return self.watch_lost();
             }
-            self.feed.rhythm.begins(self.time.now_us);
-            self.await_feed();
+            self.watch.rhythm.begins(self.time.now_us);
+            self.await_watch();
         }
-        let Some((conn, _)) = &mut self.feed.up else { return };
+        let Some((conn, _)) = &mut self.watch.up else { return };
         if interest.read {
             if conn.is_cut_off() {
-                return self.feed_lost();
+                return self.watch_lost();
             }
             let end = conn.fill(usize::MAX);
-            self.feed_read(end);
+            self.watch_read(end);
         }
-        self.flush_feed();
+        self.flush_watch();
     }
 
-    fn flush_feed(&mut self) {
-        let key = self.feed.key();
-        let Some((conn, _)) = &mut self.feed.up else { return };
+    fn flush_watch(&mut self) {
+        let key = self.watch.key();
+        let Some((conn, _)) = &mut self.watch.up else { return };
         if conn.phase != Phase::Connecting && (conn.flush().is_err() || conn.update(&self.poll, key).is_err())
         {
-            self.feed_lost();
+            self.watch_lost();
         }
     }
 
-    fn feed_read(&mut self, end: ReadEnd) {
+    fn watch_read(&mut self, end: ReadEnd) {
         let now_us = self.time.now_us;
-        let Some((conn, stream)) = &mut self.feed.up else { return };
+        let Some((conn, stream)) = &mut self.watch.up else { return };
         let (mut events, before) = (Vec::new(), stream.lines());
         let read = stream.read(&mut conn.input, &mut events);
         if stream.lines() > before {
-            self.feed.rhythm.heard(now_us, events.is_empty() && before > 0);
+            self.watch.rhythm.heard(now_us, events.is_empty() && before > 0);
         }
         for event in events {
             // The same as for one of which nothing can be read; meanwhile its good part counts.
-            if !event.unread.is_empty() && event.index > self.feed.last && self.feed.unreadable != event.index
+            if !event.unread.is_empty()
+                && event.index > self.watch.last
+                && self.watch.unreadable != event.index
             {
-                self.feed.unreadable = event.index;
+                self.watch.unreadable = event.index;
                 self.listed(&event);
-                return self.feed_lost();
+                return self.watch_lost();
             }
             let index = event.index;
-            match self.feed.take(event) {
+            match self.watch.take(event) {
                 Ok(listed) => listed.iter().for_each(|event| self.listed(event)),
                 Err(()) => {
                     tracing::warn!(
                         index,
-                        last = self.feed.last,
+                        last = self.watch.last,
                         "events of the list are missing: asking again"
                     );
-                    self.close_feed();
+                    self.close_watch();
                     // Drains may be among them, for which the time runs.
-                    self.feed.again_us = now_us;
-                    return self.await_feed();
+                    self.watch.again_us = now_us;
+                    return self.await_watch();
                 }
             }
         }
@@ -239,21 +241,21 @@
             // It may have been spoilt on its way and is asked for once more. One that still can't be read is
             // passed over, or no later one would ever come through.
             if let coordinator::StreamError::BadEvent(id, _) = e {
-                if self.feed.unreadable == id {
-                    self.feed.last = self.feed.last.max(id);
+                if self.watch.unreadable == id {
+                    self.watch.last = self.watch.last.max(id);
                 }
-                self.feed.unreadable = id;
+                self.watch.unreadable = id;
             }
-            return self.feed_lost();
+            return self.watch_lost();
         }
         if matches!(end, ReadEnd::Eof | ReadEnd::Broken) {
-            return self.feed_lost();
+            return self.watch_lost();
         }
-        self.await_feed();
+        self.await_watch();
     }
 
-    fn close_feed(&mut self) {
-        if let Some((conn, _)) = self.feed.up.take() {
+    fn close_watch(&mut self) {
+        if let Some((conn, _)) = self.watch.up.take() {
             conn.close(&self.poll);
         }
         self.list_ahead();
@@ -264,10 +266,10 @@
     }
 
     /// The stream has ended or broken. One that had just been opened is opened again after a pause.
-    fn feed_lost(&mut self) {
-        self.close_feed();
+    fn watch_lost(&mut self) {
+        self.close_watch();
         let spread_us = (SPREAD_US as f64 * self.chance()) as u64;
-        self.feed.again_us = self.feed.again_us.max(self.time.now_us + spread_us);
-        self.await_feed();
+        self.watch.again_us = self.watch.again_us.max(self.time.now_us + spread_us);
+        self.await_watch();
     }
 }
