Keep what came between two gaps of the list

Read over: Watch::take() threw away events kept ahead when a second gap came, though their numbers counted as taken, so that a drain among them was never listed. They stay now, and are listed as the stream closes. what_came_between_two_gaps_of_the_list_counts fails with the line back in (tried).

--- a/gateway/src/net/watch.rs
+++ b/gateway/src/net/watch.rs
@@ -72,7 +72,8 @@
         }
     }
 
-    /// Takes an event in its turn; what is to be listed now, in order. `Err`: events before it are missing.
+    /// Takes an event in its turn; what is to be listed now, in order. `Err`: events before it are missing. What was
+    /// kept ahead of them stays, and is listed when the stream is closed.
     fn take(&mut self, event: ListEvent) -> Result<Vec<ListEvent>, ()> {
         if event.index <= self.last {
             // It comes twice, as events may round a broken stream.
@@ -80,7 +81,6 @@
         }
         if event.index > self.last + 1 && !event.full && self.after_gap != event.index {
             self.after_gap = event.index;
-            self.ahead.clear();
             return Err(());
         }
         self.last = event.index;
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -473,6 +473,23 @@
     assert!(!gateway.log().contains("name=\"e1\" state=Gone"));
 }
 
+#[test]
+fn what_came_between_two_gaps_of_the_list_counts() {
+    let (one, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    let gateway = Gateway::scripted(&one.entry("Ready"), Some(coordinator.address), "", None, |t| t);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    watch.event(4, "");
+    let (mut again, last) = coordinator.watch();
+    assert_eq!(last, 1);
+    again.stream();
+    again.event(2, &one.entry("Terminating"));
+    again.event(6, "");
+    let (_third, last) = coordinator.watch();
+    assert_eq!(last, 2, "the second has come, and is not asked for again");
+    gateway.logged("name=\"e1\" state=Draining");
+}
+
 #[test]
 fn a_stream_of_the_list_without_an_end_of_line_is_taken_for_dead() {
     let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
