--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -23,6 +23,8 @@
     Rolling,
     /// Seven in ten start anew at once, a second and a half in.
     Herd,
+    /// Each gateway is being upgraded: two processes of it serve side by side, none knowing what the other sends.
+    Upgrade,
 }
 
 /// What is played.
@@ -38,6 +40,8 @@
     /// Whether requests say what they cost.
     estimates: bool,
     fate: Fate,
+    /// Calls that are asked for, in times those that the cold engines would do were they warm.
+    demand: f64,
 }
 
 struct Node {
@@ -83,8 +87,9 @@
     let mean: f64 = (0..3).map(|c| day.work[c] * f64::from(day.mix[c]) / 10.0).sum();
     let borne = f64::from(day.cold) * s.rules.fall_multiple * 16.0 / mean;
     let engines = f64::from(day.warm) * 16.0 / mean;
-    let rate = (0.5 * borne + 0.5 * engines) / f64::from(day.gateways);
-    let mut nodes: Vec<Node> = (0..day.gateways)
+    let processes = if day.fate == Fate::Upgrade { 2 * day.gateways } else { day.gateways };
+    let rate = (day.demand * borne + 0.5 * engines) / f64::from(processes);
+    let mut nodes: Vec<Node> = (0..processes)
         .map(|_| Node {
             gateway: start(&s, &mut rng),
             told_at: STARTS + 1.5 * uniform(&mut rng),
@@ -103,7 +108,7 @@
         let since = now - STARTS;
         for (n, node) in nodes.iter_mut().enumerate() {
             let again = match day.fate {
-                Fate::Steady => false,
+                Fate::Steady | Fate::Upgrade => false,
                 Fate::Rolling => {
                     let turn = n as f64 % 10.0 / 3.0;
                     since >= turn && since < turn + TICK
@@ -209,14 +214,14 @@
 const HEAVY: ([f64; 3], [u32; 3]) = ([0.0, 3.0, 0.0], [0, 10, 0]);
 const MIXED: ([f64; 3], [u32; 3]) = ([0.12, 3.0, 3.6], [8, 1, 1]);
 
-fn days() -> Vec<Day> {
+fn days(demand: f64, engines: &[(u32, u32)]) -> Vec<Day> {
     let mut days = Vec::new();
     for gateways in [1, 3, 20, 30, 300] {
         for (work, mix) in [LIGHT, HEAVY, MIXED] {
-            for (warm, cold) in [(0, 1), (8, 2)] {
-                for fate in [Fate::Steady, Fate::Rolling, Fate::Herd] {
+            for &(warm, cold) in engines {
+                for fate in [Fate::Steady, Fate::Rolling, Fate::Herd, Fate::Upgrade] {
                     let estimates = warm == 0;
-                    days.push(Day { gateways, warm, cold, work, mix, estimates, fate });
+                    days.push(Day { gateways, warm, cold, work, mix, estimates, fate, demand });
                 }
             }
         }
@@ -226,7 +231,9 @@
 
 #[test]
 fn the_sum_over_all_gateways_stays_within_what_passes_as_chance() {
-    for (n, day) in days().into_iter().enumerate().filter(|(_, d)| d.gateways < 300 || d.warm == 0) {
+    for (n, day) in
+        days(0.5, &[(0, 1), (8, 2)]).into_iter().enumerate().filter(|(_, d)| d.gateways < 300 || d.warm == 0)
+    {
         for (e, calls) in play(&day, 40 + n as u64).iter().enumerate() {
             let (sent, budget, most) = worst(&day, calls);
             assert!(sent <= most, "engine {e}: {sent:.1} calls of {budget:.1}, {most:.1} pass: {day:?}");
@@ -238,7 +245,8 @@
 #[test]
 fn one_more_call_of_each_gateway_would_be_too_many() {
     let (work, mix) = HEAVY;
-    let day = Day { gateways: 300, warm: 0, cold: 1, work, mix, estimates: true, fate: Fate::Steady };
+    let day =
+        Day { gateways: 300, warm: 0, cold: 1, work, mix, estimates: true, fate: Fate::Steady, demand: 0.5 };
     let mut calls = play(&day, 7).remove(0);
     calls.extend((0..day.gateways).map(|n| (STARTS + 1.5 + f64::from(n) * 0.001, day.work[1])));
     let (sent, _, most) = worst(&day, &calls);
@@ -250,7 +258,7 @@
 #[test]
 #[ignore = "prints figures"]
 fn shares_of_the_budget_by_gateways() {
-    for day in days() {
+    for day in days(2.0, &[(0, 1), (0, 3), (8, 2)]) {
         let mut shares = Vec::new();
         for seed in 0..4 {
             for calls in play(&day, seed) {
