--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A turn reads the clock once, gathers all that is ready, hands it to the core in one go and carries out
 //! the commands that come back. Each concern keeps its own state: `sessions` (clients), `pools` (engines), `watch`
-//! (the list), `listeners` (listeners), and one timing wheel for whatever is due.
+//! (the list), `listeners`, and one timing wheel for whatever is due.
 
 pub mod conn;
 pub mod poll;
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use common::script::{Peer, row, run_all};
+use common::script::{Peer, Wire, row, run_all};
 use common::{Gateway, pg};
 
 fn id(n: u64) -> String {
@@ -44,6 +44,16 @@
     panic!("refused a hundred times");
 }
 
+/// One request taken and sent: its client, and the engine's end of the connection with the call read off it.
+fn out_at(engine: &Peer, gateway: &Gateway, class: &str) -> (pg::Client, Wire) {
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&text(class, 1));
+    let mut wire = engine.accept();
+    let call = wire.call();
+    assert_eq!((call.verb.as_str(), call.ticket()), ("POST", id(1).as_str()));
+    (client, wire)
+}
+
 fn taken(gateway: &Gateway, n: u64) {
     gateway.logged(&format!("taken ticket=\"{}\"", id(n)));
 }
@@ -159,10 +169,7 @@
 fn who_leaves_between_two_attempts_has_no_second() {
     let engine = Peer::new("e1");
     let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
-    let mut client = pg::Client::connect(gateway.pg);
-    client.send(&text("load", 1));
-    let mut wire = engine.accept();
-    assert_eq!(wire.call().ticket(), id(1));
+    let (client, mut wire) = out_at(&engine, &gateway, "load");
     // Full, so that it rests before the next attempt.
     wire.say("HTTP/1.1 503 x\r\nX-Shed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     gateway.logged("ended ticket=\"0000000000000001\"");
@@ -178,10 +185,7 @@
 fn who_leaves_while_its_request_runs_has_it_given_up_at_the_engine() {
     let engine = Peer::new("e1");
     let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
-    let mut client = pg::Client::connect(gateway.pg);
-    client.send(&text("load", 1));
-    let mut wire = engine.accept();
-    assert_eq!(wire.call().ticket(), id(1));
+    let (mut client, _wire) = out_at(&engine, &gateway, "load");
     assert!(client.flood(1 << 20));
     drop(client);
     let call = engine.accept().call();
@@ -395,10 +399,7 @@
     let gateway = Gateway::scripted(&engine.entry("Ready"), Some(coordinator.address), "", None, |t| t);
     let (mut watch, _) = coordinator.watch();
     watch.stream();
-    let mut client = pg::Client::connect(gateway.pg);
-    client.send(&text("report", 1));
-    let mut wire = engine.accept();
-    assert_eq!(wire.call().ticket(), id(1));
+    let (mut client, wire) = out_at(&engine, &gateway, "report");
     let heir = engine.entry("Ready").replace("\"e1\"", "\"e2\"");
     watch.event(2, &format!("{},{heir}", engine.entry("Gone")));
     gateway.logged("name=\"e2\" state=Ready");
@@ -420,10 +421,7 @@
     for (class, again) in [("report", true), ("load", false)] {
         let engine = Peer::new("e1");
         let gateway = Gateway::scripted(&engine.entry("Ready"), None, "", None, |t| t);
-        let mut client = pg::Client::connect(gateway.pg);
-        client.send(&text(class, 1));
-        let mut wire = engine.accept();
-        assert_eq!(wire.call().verb, "POST");
+        let (mut client, wire) = out_at(&engine, &gateway, class);
         drop(wire);
         // The engine is asked whether it knows the query.
         let mut asked = engine.accept();
