--- /dev/null
+++ b/lab/src/hollow/bounds.rs
@@ -0,0 +1,82 @@
+//! What a run may use: memory, processes and time. A run that outgrows a bound stops and says so.
+
+use std::time::{Duration, Instant};
+
+use super::error::HollowError;
+
+/// Memory of all processes of a run together, in MB.
+pub const MOST_MEMORY_MB: u64 = 12_288;
+/// Processes of a run.
+pub const MOST_PROCESSES: u64 = 300;
+/// Descriptors of a process.
+pub const MOST_DESCRIPTORS: u64 = 20_000;
+
+/// The bounds of one run.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    memory_mb: u64,
+    time: Duration,
+    began: Instant,
+}
+
+impl Bounds {
+    /// Bounds of a run that begins now.
+    pub fn new(memory_mb: u64, time: Duration) -> Self {
+        Self { memory_mb, time, began: Instant::now() }
+    }
+
+    /// Checks time, and the memory of these processes together.
+    ///
+    /// # Errors
+    /// A bound is passed.
+    pub fn check(&self, processes: &[u32]) -> Result<(), HollowError> {
+        let elapsed = self.began.elapsed();
+        if elapsed > self.time {
+            let (reached, most) = (elapsed.as_secs(), self.time.as_secs());
+            return Err(HollowError::Bound { bound: "time", reached, most, unit: "s" });
+        }
+        let bytes: u64 = processes.iter().map(|process| resident_bytes(*process).unwrap_or(0)).sum();
+        let reached = bytes >> 20;
+        if reached > self.memory_mb {
+            return Err(HollowError::Bound { bound: "memory", reached, most: self.memory_mb, unit: "MB" });
+        }
+        Ok(())
+    }
+
+    /// Checks a number of processes.
+    ///
+    /// # Errors
+    /// There are too many.
+    pub fn check_processes(processes: u64) -> Result<(), HollowError> {
+        if processes <= MOST_PROCESSES {
+            return Ok(());
+        }
+        Err(HollowError::Bound { bound: "processes", reached: processes, most: MOST_PROCESSES, unit: "processes" })
+    }
+
+    /// Checks a number of descriptors in one process.
+    ///
+    /// # Errors
+    /// There are too many.
+    pub fn check_descriptors(descriptors: u64) -> Result<(), HollowError> {
+        if descriptors <= MOST_DESCRIPTORS {
+            return Ok(());
+        }
+        let (reached, most) = (descriptors, MOST_DESCRIPTORS);
+        Err(HollowError::Bound { bound: "descriptors", reached, most, unit: "descriptors in a process" })
+    }
+}
+
+/// Bytes of anonymous memory that a process has resident (`RssAnon` of proc(5)).
+pub fn resident_bytes(process: u32) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kilobytes * 1024)
+}
+
+/// Processor time of a thread so far, in nanoseconds (`schedstat` of proc(5)).
+pub fn processor_ns(process: u32, thread: u32) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/task/{thread}/schedstat")).ok()?;
+    text.split_whitespace().next()?.parse().ok()
+}
--- /dev/null
+++ b/lab/src/hollow/events.rs
@@ -0,0 +1,259 @@
+//! The events that a fleet is put through, as scripts: what happens when, from a fixed seed.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::error::HollowError;
+use super::fleet::{self, FleetSize};
+use super::list::{Database, DatabaseState};
+use super::model::control::ControlState;
+
+/// A second, in microseconds.
+const SECOND: u64 = 1_000_000;
+/// When an event begins: all streams are up and quiet by then.
+const BEGIN: u64 = 20 * SECOND;
+/// From a database's failure to its entry in the list: an assumption about control.
+const DETECTION: u64 = 3 * SECOND;
+/// The window in which many restarts or a release are squeezed.
+const WINDOW: u64 = 60 * SECOND;
+/// For how long a single machine, a rack or a zone is away.
+const AWAY: u64 = 60 * SECOND;
+/// For how long the regions are cut off from each other.
+const CUT: u64 = 180 * SECOND;
+/// How long a database is away for a restart.
+const DATABASE_RESTART: u64 = 10 * SECOND;
+/// Quiet time behind the last action.
+const AFTER: u64 = 30 * SECOND;
+/// Restarts and replacements of a day.
+const RESTARTS_A_DAY: usize = 110;
+/// Failures of a day.
+const FAILURES_A_DAY: usize = 2;
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// The list changes, in one event.
+    Change(Vec<Database>),
+    /// A control machine ends or vanishes, or serves again.
+    Control(usize, ControlState),
+    /// A gateway vanishes without a word.
+    GatewayVanishes(usize),
+    /// A gateway starts; if it ran before, it ends first.
+    GatewayStarts(usize),
+    /// Nothing passes between the regions any more, or all does again.
+    Cut(bool),
+    /// All control machines but these many are away, in the same moment.
+    ControlLeft(usize),
+}
+
+/// What happens when.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// The event's name.
+    pub name: &'static str,
+    /// Actions with their times in microseconds, in order.
+    pub actions: Vec<(u64, Action)>,
+    /// When the event begins; what was before is not measured.
+    pub begins_us: u64,
+    /// When the run ends.
+    pub ends_us: u64,
+}
+
+type Build = fn(FleetSize, &mut Pcg32) -> Vec<(u64, Action)>;
+
+/// All events by name.
+const EVENTS: [(&str, Build); 14] = [
+    ("ordinary hour", ordinary_hour),
+    ("one gateway fails", gateway_fails),
+    ("one database fails", database_fails),
+    ("one control machine fails", control_fails),
+    ("one control process ends", control_ends),
+    ("110 restarts in one window", restarts_in_one_window),
+    ("110 restarts at once", restarts_at_once),
+    ("release of all gateways", release),
+    ("rack", rack_fails),
+    ("zone", zone_fails),
+    ("regions cut off", regions_cut),
+    ("one change of the list", one_change),
+    ("change of the list while a zone fails", change_in_zone),
+    ("all watchers reconnect", all_reconnect),
+];
+
+/// The names of all events.
+pub fn names() -> impl Iterator<Item = &'static str> {
+    EVENTS.iter().map(|(name, _)| *name)
+}
+
+/// The script of an event.
+///
+/// # Errors
+/// No event has this name.
+pub fn script(name: &str, size: FleetSize, seed: u64) -> Result<Script, HollowError> {
+    let found = EVENTS.iter().find(|(known, _)| *known == name);
+    let Some((name, build)) = found else {
+        let all: Vec<_> = names().collect();
+        return Err(HollowError::Event(name.to_owned(), all.join(", ")));
+    };
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut actions = build(size, &mut random);
+    actions.sort_by_key(|(at, _)| *at);
+    let last_us = actions.last().map_or(BEGIN, |(at, _)| *at);
+    let ends_us = if *name == "ordinary hour" { BEGIN + 3600 * SECOND } else { last_us + AFTER };
+    Ok(Script { name, actions, begins_us: BEGIN, ends_us })
+}
+
+fn below(random: &mut Pcg32, most: usize) -> usize {
+    random.next_u32() as usize % most.max(1)
+}
+
+fn within(random: &mut Pcg32, span_us: u64) -> u64 {
+    u64::from(random.next_u32()) * span_us / u64::from(u32::MAX)
+}
+
+fn state(number: usize, state: DatabaseState, at_us: u64) -> (u64, Action) {
+    let since_ms = if state == DatabaseState::Ready { at_us / 1000 } else { 0 };
+    (at_us, Action::Change(vec![Database { number, state, since_ms }]))
+}
+
+/// Three events: it drains, has gone, and is back as one that has just started.
+fn database_restart(number: usize, at_us: u64) -> [(u64, Action); 3] {
+    [
+        state(number, DatabaseState::Terminating, at_us),
+        state(number, DatabaseState::Gone, at_us + 2 * SECOND),
+        state(number, DatabaseState::Ready, at_us + DATABASE_RESTART),
+    ]
+}
+
+fn database_away(number: usize, from_us: u64, until_us: u64) -> [(u64, Action); 2] {
+    [
+        state(number, DatabaseState::Gone, from_us + DETECTION),
+        state(number, DatabaseState::Ready, until_us),
+    ]
+}
+
+fn gateway_away(number: usize, from_us: u64, until_us: u64) -> [(u64, Action); 2] {
+    [(from_us, Action::GatewayVanishes(number)), (until_us, Action::GatewayStarts(number))]
+}
+
+fn control_away(number: usize, state: ControlState, from_us: u64, until_us: u64) -> [(u64, Action); 2] {
+    [
+        (from_us, Action::Control(number, state)),
+        (until_us, Action::Control(number, ControlState::Serves)),
+    ]
+}
+
+/// Restarts over all roles, in proportion to their machines.
+fn restarts(size: FleetSize, random: &mut Pcg32, count: usize, window_us: u64) -> Vec<(u64, Action)> {
+    let all = size.gateways + size.databases + size.control;
+    let mut machines: Vec<usize> = (0..all).collect();
+    let mut actions = Vec::new();
+    for _ in 0..count.min(all) {
+        let machine = machines.swap_remove(below(random, machines.len()));
+        let at_us = BEGIN + within(random, window_us);
+        if machine < size.gateways {
+            actions.push((at_us, Action::GatewayStarts(machine)));
+        } else if machine < size.gateways + size.databases {
+            actions.extend(database_restart(machine - size.gateways, at_us));
+        } else {
+            let control = machine - size.gateways - size.databases;
+            actions.extend(control_away(control, ControlState::Ended, at_us, at_us + DATABASE_RESTART));
+        }
+    }
+    actions
+}
+
+fn ordinary_hour(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    let hour_us = 3600 * SECOND;
+    let mut actions = restarts(size, random, RESTARTS_A_DAY.div_ceil(24), hour_us - 120 * SECOND);
+    for _ in 0..FAILURES_A_DAY.div_ceil(24) {
+        let at_us = BEGIN + within(random, hour_us - 120 * SECOND);
+        actions.extend(database_away(below(random, size.databases), at_us, at_us + AWAY));
+    }
+    actions
+}
+
+fn gateway_fails(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    gateway_away(below(random, size.gateways), BEGIN, BEGIN + AWAY).into()
+}
+
+fn database_fails(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    database_away(below(random, size.databases), BEGIN, BEGIN + AWAY).into()
+}
+
+fn control_fails(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    control_away(below(random, size.control), ControlState::Vanished, BEGIN, BEGIN + AWAY).into()
+}
+
+fn control_ends(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    control_away(below(random, size.control), ControlState::Ended, BEGIN, BEGIN + AWAY).into()
+}
+
+fn restarts_in_one_window(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    restarts(size, random, RESTARTS_A_DAY, WINDOW)
+}
+
+fn restarts_at_once(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    restarts(size, random, RESTARTS_A_DAY, 0)
+}
+
+fn release(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    (0..size.gateways).map(|gateway| (BEGIN + within(random, WINDOW), Action::GatewayStarts(gateway))).collect()
+}
+
+/// What stands in one place is away for a while, and returns in the same moment.
+fn place_away(size: FleetSize, is_there: impl Fn(usize) -> bool) -> Vec<(u64, Action)> {
+    let until_us = BEGIN + AWAY;
+    let mut actions = Vec::new();
+    for control in (0..size.control).filter(|machine| is_there(*machine)) {
+        actions.extend(control_away(control, ControlState::Vanished, BEGIN, until_us));
+    }
+    for gateway in (0..size.gateways).filter(|machine| is_there(*machine)) {
+        actions.extend(gateway_away(gateway, BEGIN, until_us));
+    }
+    for database in (0..size.databases).filter(|machine| is_there(*machine)) {
+        actions.extend(database_away(database, BEGIN, until_us));
+    }
+    actions
+}
+
+fn rack_fails(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    let (zone, rack) = (below(random, fleet::ZONES), below(random, fleet::RACKS_A_ZONE));
+    place_away(size, |machine| fleet::zone(machine) == zone && fleet::rack(machine) == rack)
+}
+
+fn zone_fails(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    let zone = below(random, fleet::ZONES);
+    place_away(size, |machine| fleet::zone(machine) == zone)
+}
+
+fn regions_cut(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    let mut actions = vec![(BEGIN, Action::Cut(true)), (BEGIN + CUT, Action::Cut(false))];
+    // Databases are restarted meanwhile, as on any day.
+    for restart in 0..10 {
+        actions.extend(database_restart(below(random, size.databases), BEGIN + (restart + 1) * 15 * SECOND));
+    }
+    actions
+}
+
+fn one_change(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    vec![state(below(random, size.databases), DatabaseState::Terminating, BEGIN)]
+}
+
+fn change_in_zone(size: FleetSize, random: &mut Pcg32) -> Vec<(u64, Action)> {
+    let mut actions = zone_fails(size, random);
+    let database = below(random, size.databases);
+    for tenths in [1, 10, 25, 30, 35, 605, 620] {
+        let changed = if tenths % 2 == 0 { DatabaseState::Ready } else { DatabaseState::Terminating };
+        actions.push(state(database, changed, BEGIN + tenths * SECOND / 10));
+    }
+    actions
+}
+
+/// Two of seven control machines stay, or as much of any other number.
+fn all_reconnect(size: FleetSize, _: &mut Pcg32) -> Vec<(u64, Action)> {
+    let left = (size.control * 2 / 7).max(1);
+    vec![
+        (BEGIN, Action::ControlLeft(left)),
+        (BEGIN + AWAY, Action::ControlLeft(size.control)),
+    ]
+}
--- /dev/null
+++ b/lab/src/hollow/load.rs
@@ -0,0 +1,86 @@
+//! Load over time: its total, and the most that fell into any window of a given length.
+
+use std::collections::VecDeque;
+
+/// A tenth of a second, in microseconds: what falls into it is in step.
+pub const TENTH_US: u64 = 100_000;
+/// A second, in microseconds.
+pub const SECOND_US: u64 = 1_000_000;
+/// Ten seconds, in microseconds.
+pub const TEN_SECONDS_US: u64 = 10 * SECOND_US;
+
+/// The most that fell into a sliding window.
+#[derive(Clone, Debug)]
+pub struct SlidingMaximum {
+    window_us: u64,
+    samples: VecDeque<(u64, u64)>,
+    sum: u64,
+    most: u64,
+}
+
+impl SlidingMaximum {
+    /// Nothing yet, for a window of this length.
+    pub fn new(window_us: u64) -> Self {
+        Self { window_us, samples: VecDeque::new(), sum: 0, most: 0 }
+    }
+
+    /// Adds an amount at a time that is not before that of the last.
+    pub fn add(&mut self, now_us: u64, amount: u64) {
+        while self.samples.front().is_some_and(|(at, _)| at + self.window_us <= now_us) {
+            self.sum -= self.samples.pop_front().map_or(0, |(_, amount)| amount);
+        }
+        match self.samples.back_mut() {
+            Some((at, last)) if *at == now_us => *last += amount,
+            _ => self.samples.push_back((now_us, amount)),
+        }
+        self.sum += amount;
+        self.most = self.most.max(self.sum);
+    }
+
+    /// The most so far.
+    pub fn most(&self) -> u64 {
+        self.most
+    }
+}
+
+/// A quantity of one machine over a run.
+#[derive(Clone, Debug)]
+pub struct Load {
+    second: SlidingMaximum,
+    ten_seconds: SlidingMaximum,
+    total: u64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            second: SlidingMaximum::new(SECOND_US),
+            ten_seconds: SlidingMaximum::new(TEN_SECONDS_US),
+            total: 0,
+        }
+    }
+}
+
+impl Load {
+    /// Adds an amount at a time that is not before that of the last.
+    pub fn add(&mut self, now_us: u64, amount: u64) {
+        self.second.add(now_us, amount);
+        self.ten_seconds.add(now_us, amount);
+        self.total += amount;
+    }
+
+    /// The amount in the worst second.
+    pub fn worst_second(&self) -> u64 {
+        self.second.most()
+    }
+
+    /// The amount in the worst ten seconds, all together.
+    pub fn worst_ten_seconds(&self) -> u64 {
+        self.ten_seconds.most()
+    }
+
+    /// All of it.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+}
--- /dev/null
+++ b/lab/src/hollow/mod.rs
@@ -0,0 +1,99 @@
+//! `wrenhatch-lab hollow`: what control costs a fleet, without its clients' traffic.
+//!
+//! `simulate` plays events in simulated time on the gateway's own control-side code, `sockets` runs whole gateways
+//! without clients over loopback, and `compare` runs the same small fleet hollow, as real processes and in simulated
+//! time, and compares counts, processor time and memory. How they work, and what they leave out, stands in
+//! `docs/design/capacity-hollow.md`.
+
+pub mod bounds;
+pub mod compare;
+pub mod error;
+pub mod events;
+pub mod figures;
+pub mod fleet;
+pub mod list;
+pub mod load;
+pub mod model;
+mod settings;
+pub mod simulate;
+pub mod sockets;
+
+use clap::{Args, Subcommand};
+
+/// Runs of a fleet without its clients' traffic.
+#[derive(Args)]
+pub struct Options {
+    #[command(subcommand)]
+    run: Run,
+}
+
+#[derive(Subcommand)]
+enum Run {
+    /// Events in simulated time on the gateway's control-side code.
+    Simulate(simulate::Options),
+    /// Whole gateways without clients in few processes, over loopback.
+    Sockets(sockets::Options),
+    /// A small fleet hollow, as real processes and in simulated time.
+    Compare(compare::Options),
+    /// Holds gateways for `sockets` and `compare` until SIGTERM.
+    #[command(hide = true)]
+    Host(sockets::host::Options),
+}
+
+/// Runs what was asked for.
+///
+/// # Errors
+/// An option is wrong, a bound is passed, or figures are not usable.
+pub fn run(options: &Options) -> Result<(), error::HollowError> {
+    match &options.run {
+        Run::Simulate(options) => simulate::run(options),
+        Run::Sockets(options) => sockets::run(options),
+        Run::Compare(options) => compare::run(options),
+        Run::Host(options) => sockets::host::run(options),
+    }
+}
+
+/// The size of a fleet on the command line.
+#[derive(Args, Clone, Copy, Debug)]
+pub struct SizeOptions {
+    /// Gateways.
+    #[arg(long, default_value_t = fleet::FleetSize::NAMED.gateways)]
+    pub gateways: usize,
+    /// Databases.
+    #[arg(long, default_value_t = fleet::FleetSize::NAMED.databases)]
+    pub databases: usize,
+    /// Control machines.
+    #[arg(long, default_value_t = fleet::FleetSize::NAMED.control)]
+    pub control: usize,
+}
+
+impl SizeOptions {
+    fn size(&self) -> Result<fleet::FleetSize, error::HollowError> {
+        let Self { gateways, databases, control } = *self;
+        fleet::FleetSize { gateways, databases, control }.check()
+    }
+}
+
+/// The bounds of a run on the command line.
+#[derive(Args, Clone, Copy, Debug)]
+pub struct BoundOptions {
+    /// Stops at so much memory of all processes together, in MB.
+    #[arg(long, default_value_t = bounds::MOST_MEMORY_MB)]
+    pub memory_mb: u64,
+    /// Stops after so many seconds.
+    #[arg(long, default_value_t = 900)]
+    pub limit_s: u64,
+}
+
+impl BoundOptions {
+    fn bounds(&self) -> Result<bounds::Bounds, error::HollowError> {
+        let ranges =
+            [("memory-mb", self.memory_mb, bounds::MOST_MEMORY_MB), ("limit-s", self.limit_s, 3600)];
+        for (option, value, most) in ranges {
+            if !(1..=most).contains(&value) {
+                return Err(error::HollowError::Option { option, value, least: 1, most });
+            }
+        }
+        Ok(bounds::Bounds::new(self.memory_mb, std::time::Duration::from_secs(self.limit_s)))
+    }
+}
--- /dev/null
+++ b/lab/src/hollow/simulate.rs
@@ -0,0 +1,161 @@
+//! `wrenhatch-lab hollow simulate`: events in simulated time, each with several seeds, and their figures.
+
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use clap::Args;
+
+use super::bounds::Bounds;
+use super::error::HollowError;
+use super::events;
+use super::figures::{Figure, Mark, Role, add_to_file};
+use super::fleet::FleetSize;
+use super::model::{Measured, Model, Worst};
+use super::{BoundOptions, SizeOptions};
+
+/// Fleets that are played at once.
+const AT_ONCE: usize = 3;
+/// Seeds of a run.
+const MOST_SEEDS: u64 = 100;
+
+/// What to play.
+#[derive(Args)]
+pub struct Options {
+    #[command(flatten)]
+    size: SizeOptions,
+    #[command(flatten)]
+    bounds: BoundOptions,
+    /// The event to play; all without it.
+    #[arg(long)]
+    event: Option<String>,
+    /// Each event is played with the seeds from 1 to this; figures are the worst of them.
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    /// Adds the figures to this file. A comparison with the same counts must stand beside it.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// Plays events and prints what they did.
+///
+/// # Errors
+/// An option is wrong, or a bound is passed.
+pub fn run(options: &Options) -> Result<(), HollowError> {
+    let (size, bounds) = (options.size.size()?, options.bounds.bounds()?);
+    if !(1..=MOST_SEEDS).contains(&options.seeds) {
+        let (value, most) = (options.seeds, MOST_SEEDS);
+        return Err(HollowError::Option { option: "seeds", value, least: 1, most });
+    }
+    let names: Vec<&str> = match &options.event {
+        Some(name) => vec![events::script(name, size, 1)?.name],
+        None => events::names().collect(),
+    };
+    let measured = play_all(&names, size, options.seeds, &bounds)?;
+    let mut figures = Vec::new();
+    for (name, measured) in names.iter().zip(&measured) {
+        let command = command(size, options.seeds, name);
+        let fresh = event_figures(name, measured, &command);
+        print(name, &fresh);
+        figures.extend(fresh);
+    }
+    match &options.json {
+        Some(path) => add_to_file(path, figures),
+        None => Ok(()),
+    }
+}
+
+/// Plays an event with one seed.
+///
+/// # Errors
+/// No event has this name, or a bound is passed.
+pub fn play(name: &str, size: FleetSize, seed: u64, bounds: &Bounds) -> Result<Measured, HollowError> {
+    let script = events::script(name, size, seed)?;
+    Model::new(size, seed).run(&script, bounds)
+}
+
+/// Plays all events with all seeds, some at once; the worst of each event.
+fn play_all(
+    names: &[&'static str],
+    size: FleetSize,
+    seeds: u64,
+    bounds: &Bounds,
+) -> Result<Vec<Measured>, HollowError> {
+    let plays: Vec<(usize, u64)> =
+        (0..names.len()).flat_map(|event| (1..=seeds).map(move |seed| (event, seed))).collect();
+    let (next, results) = (AtomicUsize::new(0), Mutex::new(vec![Measured::default(); names.len()]));
+    let worker = || -> Result<(), HollowError> {
+        while let Some((event, seed)) = plays.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let measured = play(names[*event], size, *seed, bounds)?;
+            if let Ok(mut results) = results.lock() {
+                results[*event] = results[*event].worse(measured);
+            }
+        }
+        Ok(())
+    };
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..AT_ONCE).map(|_| scope.spawn(worker)).collect();
+        workers.into_iter().try_for_each(|worker| match worker.join() {
+            Ok(result) => result,
+            Err(panic) => std::panic::resume_unwind(panic),
+        })
+    })?;
+    Ok(results.into_inner().unwrap_or_else(|poisoned| poisoned.into_inner()))
+}
+
+fn command(size: FleetSize, seeds: u64, event: &str) -> String {
+    let FleetSize { gateways, databases, control } = size;
+    format!(
+        "wrenhatch-lab hollow simulate --gateways {gateways} --databases {databases} --control {control} \
+         --seeds {seeds} --event '{event}'"
+    )
+}
+
+/// The figures of an event.
+pub fn event_figures(event: &str, measured: &Measured, command: &str) -> Vec<Figure> {
+    let figure = |role, quantity: &str, value: f64, unit: &str| Figure {
+        role,
+        quantity: quantity.to_owned(),
+        event: event.to_owned(),
+        value,
+        unit: unit.to_owned(),
+        mark: Mark::Simulated,
+        command: command.to_owned(),
+    };
+    let worst = |role, quantity: &str, worst: &Worst, unit: &str, scale: f64| {
+        [
+            figure(role, &format!("{quantity}, worst second"), worst.second as f64 / scale, unit),
+            figure(role, &format!("{quantity}, worst 10 s"), worst.ten_seconds as f64 / scale, unit),
+        ]
+    };
+    let ms = |us: u64| us as f64 / 1e3;
+    let (gateway, control) = (Role::Gateway, Role::Control);
+    let mut all = Vec::new();
+    all.extend(worst(gateway, "list calls of one gateway", &measured.gateway_calls, "calls", 1.0));
+    all.extend(worst(gateway, "list events taken by one gateway", &measured.gateway_events, "events", 1.0));
+    all.extend(worst(gateway, "bytes of the list read by one gateway", &measured.gateway_bytes, "KB", 1e3));
+    all.extend(worst(control, "calls to one control machine", &measured.control_calls, "calls", 1.0));
+    all.extend(worst(control, "list events written by one machine", &measured.control_events, "events", 1.0));
+    all.extend(worst(control, "bytes written by one control machine", &measured.control_bytes, "KB", 1e3));
+    all.extend([
+        figure(control, "most streams at one machine", measured.control_streams as f64, "streams"),
+        figure(control, "longest wait in one machine's queue", ms(measured.control_wait_us), "ms"),
+        figure(control, "most bytes held by one machine for a silent network", measured.control_unsent_bytes as f64 / 1e3, "KB"),
+        figure(control, "list calls of all gateways, total", measured.calls as f64, "calls"),
+        figure(control, "list calls of all gateways in one tenth of a second", measured.calls_in_step as f64, "calls"),
+        figure(gateway, "list events taken by all gateways, total", measured.events as f64, "events"),
+        figure(gateway, "from a change of the list until a gateway has it, median", ms(measured.in_force_median_us), "ms"),
+        figure(gateway, "from a change of the list until the last gateway has it", ms(measured.in_force_last_us), "ms"),
+        figure(gateway, "from a gateway's start until it has the list, longest", ms(measured.first_list_us), "ms"),
+        figure(gateway, "gateways behind the list at the end", measured.behind as f64, "gateways"),
+        figure(gateway, "gateways without a stream at the end", measured.without_stream as f64, "gateways"),
+    ]);
+    all
+}
+
+fn print(event: &str, figures: &[Figure]) {
+    println!("{event}");
+    for figure in figures {
+        println!("  {:>12.3} {:<8} {}", figure.value, figure.unit, figure.quantity);
+    }
+}
--- /dev/null
+++ b/lab/src/hollow/sockets/control.rs
@@ -0,0 +1,389 @@
+//! A stand-in for a control machine over loopback: it streams the list as server-sent events, written from the public
+//! protocol alone. All stand-ins of a fleet listen at one port, among which the kernel spreads new connections.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use wrenhatch::net::poll::{Interest, Poll, Told};
+
+use crate::hollow::error::HollowError;
+use crate::hollow::list::{COMMENT, COMMENT_PERIOD_US, Database, DatabaseList, STREAM_HEAD, last_event_id};
+use crate::hollow::load::Load;
+
+const LISTENER: u64 = 0;
+const COMMANDS: u64 = 1;
+const FIRST_STREAM: u64 = 2;
+/// Connections that the kernel keeps until they are accepted.
+const BACKLOG: i32 = 1024;
+/// The longest call that is read.
+const LONGEST_CALL: usize = 8192;
+/// How long a stand-in sleeps at most.
+const LONGEST_WAIT: Duration = Duration::from_millis(500);
+
+/// What a control machine is to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Change the list, in one event.
+    Change(Vec<Database>),
+    /// End all streams, and take calls as before.
+    EndStreams,
+    /// End all streams and listen no more.
+    Leave,
+    /// Listen again.
+    Return,
+    /// Write no comments any more; or do again, the first at once.
+    Silent(bool),
+    /// What was counted before does not count.
+    Measure,
+    /// End.
+    Stop,
+}
+
+/// What a control machine has counted.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// Calls that were answered with a stream.
+    pub calls: Load,
+    /// List events written, once for each stream.
+    pub events: Load,
+    /// Bytes of these events.
+    pub event_bytes: Load,
+    /// All bytes written.
+    pub bytes: Load,
+    /// Streams that this machine has ended.
+    pub ended: u64,
+    /// Streams that it has now.
+    pub streams: u64,
+    /// Streams that have been written the last event, to its last byte.
+    pub told: u64,
+    /// How late a comment was at the worst, in microseconds.
+    pub late_us: u64,
+}
+
+/// A running control machine.
+pub struct ControlStandIn {
+    commands: Sender<Command>,
+    wake: UnixStream,
+    counts: Arc<Mutex<Counts>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn counted(counts: &Mutex<Counts>) -> MutexGuard<'_, Counts> {
+    counts.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ControlStandIn {
+    /// Starts so many control machines at one address.
+    ///
+    /// # Errors
+    /// The system has no socket or thread for them.
+    pub fn start_all(machines: usize, list: &DatabaseList) -> Result<(SocketAddr, Vec<Self>), HollowError> {
+        let first = listen((Ipv4Addr::LOCALHOST, 0).into())?;
+        let address = first.local_addr()?;
+        let mut listeners = vec![first];
+        for _ in 1..machines {
+            listeners.push(listen(address)?);
+        }
+        let began = Instant::now();
+        let start = |listener| Self::start(listener, address, list.clone(), began);
+        Ok((address, listeners.into_iter().map(start).collect::<Result<_, _>>()?))
+    }
+
+    fn start(
+        listener: TcpListener,
+        address: SocketAddr,
+        list: DatabaseList,
+        began: Instant,
+    ) -> Result<Self, HollowError> {
+        let (commands, received) = channel();
+        let (wake, woken) = UnixStream::pair()?;
+        woken.set_nonblocking(true)?;
+        let counts = Arc::<Mutex<Counts>>::default();
+        let mut machine = Machine {
+            poll: Poll::new()?,
+            listener: None,
+            address,
+            list,
+            began,
+            streams: Vec::new(),
+            is_silent: false,
+            received,
+            woken,
+            counts: counts.clone(),
+        };
+        machine.take_listener(listener)?;
+        machine.poll.add(&machine.woken, COMMANDS, READ, Told::Always)?;
+        let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+            // A poller that fails leaves the machine silent, which the run then reports.
+            let _ = machine.run();
+        })?;
+        Ok(Self { commands, wake, counts, thread: Some(thread) })
+    }
+
+    /// Has it do something; it does so at once.
+    pub fn tell(&self, command: Command) {
+        // Both fail only once it has ended.
+        let _ = self.commands.send(command);
+        let _ = (&self.wake).write(&[0]);
+    }
+
+    /// What it has counted.
+    pub fn counts(&self) -> Counts {
+        counted(&self.counts).clone()
+    }
+}
+
+impl Drop for ControlStandIn {
+    fn drop(&mut self) {
+        self.tell(Command::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+const READ: Interest = Interest { read: true, write: false };
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+struct Stream {
+    socket: TcpStream,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// The last event that was put into the output; none before the call has come.
+    told: Option<u64>,
+    comment_due_us: u64,
+}
+
+struct Machine {
+    poll: Poll,
+    listener: Option<TcpListener>,
+    address: SocketAddr,
+    list: DatabaseList,
+    began: Instant,
+    streams: Vec<Option<Stream>>,
+    is_silent: bool,
+    received: Receiver<Command>,
+    woken: UnixStream,
+    counts: Arc<Mutex<Counts>>,
+}
+
+impl Machine {
+    fn now_us(&self) -> u64 {
+        self.began.elapsed().as_micros() as u64
+    }
+
+    fn run(&mut self) -> std::io::Result<()> {
+        let mut ready = Vec::new();
+        loop {
+            let wait = self.wait();
+            self.poll.wait(Some(wait), &mut ready)?;
+            for (key, _) in &ready {
+                match *key {
+                    LISTENER => self.accept()?,
+                    COMMANDS => self.drain_wake(),
+                    key => self.ready((key - FIRST_STREAM) as usize),
+                }
+            }
+            while let Ok(command) = self.received.try_recv() {
+                if matches!(command, Command::Stop) {
+                    return Ok(());
+                }
+                self.carry_out(command)?;
+            }
+            self.write_comments();
+            self.count_streams();
+        }
+    }
+
+    /// Until the next comment is due.
+    fn wait(&self) -> Duration {
+        let due = self.streams.iter().flatten().filter(|stream| stream.told.is_some());
+        let next_us = due.map(|stream| stream.comment_due_us).min().unwrap_or(u64::MAX);
+        Duration::from_micros(next_us.saturating_sub(self.now_us())).min(LONGEST_WAIT)
+    }
+
+    fn drain_wake(&mut self) {
+        let mut bytes = [0; 64];
+        while (&self.woken).read(&mut bytes).is_ok_and(|count| count > 0) {}
+    }
+
+    fn carry_out(&mut self, command: Command) -> std::io::Result<()> {
+        match command {
+            Command::Change(changed) => {
+                self.list.change(&changed);
+                (0..self.streams.len()).for_each(|place| self.tell(place));
+            }
+            Command::EndStreams => self.end_streams(),
+            Command::Leave => {
+                if let Some(listener) = self.listener.take() {
+                    self.poll.remove(&listener);
+                }
+                self.end_streams();
+            }
+            Command::Return => {
+                let listener = listen(self.address)?;
+                self.take_listener(listener)?;
+            }
+            Command::Silent(is_silent) => {
+                self.is_silent = is_silent;
+                let now_us = self.now_us();
+                self.streams.iter_mut().flatten().for_each(|stream| stream.comment_due_us = now_us);
+            }
+            Command::Measure => *counted(&self.counts) = Counts::default(),
+            Command::Stop => {}
+        }
+        Ok(())
+    }
+
+    fn take_listener(&mut self, listener: TcpListener) -> std::io::Result<()> {
+        self.poll.add(&listener, LISTENER, READ, Told::Always)?;
+        self.listener = Some(listener);
+        Ok(())
+    }
+
+    fn end_streams(&mut self) {
+        for place in 0..self.streams.len() {
+            if self.streams[place].is_some() {
+                counted(&self.counts).ended += 1;
+                self.close(place);
+            }
+        }
+    }
+
+    fn close(&mut self, place: usize) {
+        if let Some(stream) = self.streams[place].take() {
+            self.poll.remove(&stream.socket);
+        }
+    }
+
+    fn accept(&mut self) -> std::io::Result<()> {
+        while let Some(listener) = &self.listener {
+            let socket = match listener.accept() {
+                Ok((socket, _)) => socket,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => continue,
+                Err(e) => return Err(e),
+            };
+            socket.set_nonblocking(true)?;
+            socket.set_nodelay(true)?;
+            let place = self.streams.iter().position(Option::is_none).unwrap_or_else(|| {
+                self.streams.push(None);
+                self.streams.len() - 1
+            });
+            self.poll.add(&socket, FIRST_STREAM + place as u64, READ, Told::Always)?;
+            let (input, output) = (Vec::new(), Vec::new());
+            self.streams[place] = Some(Stream { socket, input, output, told: None, comment_due_us: 0 });
+        }
+        Ok(())
+    }
+
+    /// Reads a call, or the other side's end; writes what had to wait.
+    fn ready(&mut self, place: usize) {
+        let Some(Some(stream)) = self.streams.get_mut(place) else { return };
+        let mut bytes = [0; 2048];
+        loop {
+            match stream.socket.read(&mut bytes) {
+                Ok(0) => return self.close(place),
+                Ok(count) => stream.input.extend(&bytes[..count]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return self.close(place),
+            }
+        }
+        if stream.input.len() > LONGEST_CALL {
+            return self.close(place);
+        }
+        if let (None, Some(after)) = (stream.told, last_event_id(&stream.input)) {
+            self.begin(place, after);
+        }
+        self.flush(place);
+    }
+
+    fn begin(&mut self, place: usize, after: u64) {
+        let now_us = self.now_us();
+        let Some(Some(stream)) = self.streams.get_mut(place) else { return };
+        stream.told = Some(after);
+        stream.comment_due_us = now_us + COMMENT_PERIOD_US;
+        stream.output.extend(STREAM_HEAD);
+        let mut counts = counted(&self.counts);
+        counts.calls.add(now_us, 1);
+        counts.bytes.add(now_us, STREAM_HEAD.len() as u64);
+        drop(counts);
+        self.tell(place);
+    }
+
+    /// Writes all events that the stream has not been told.
+    fn tell(&mut self, place: usize) {
+        let now_us = self.now_us();
+        let Some(Some(stream)) = self.streams.get_mut(place) else { return };
+        let Some(told) = stream.told else { return };
+        let mut counts = counted(&self.counts);
+        for (number, text) in self.list.events(told) {
+            stream.output.extend(&text[..]);
+            stream.told = Some(number);
+            counts.events.add(now_us, 1);
+            counts.event_bytes.add(now_us, text.len() as u64);
+            counts.bytes.add(now_us, text.len() as u64);
+        }
+        drop(counts);
+        self.flush(place);
+    }
+
+    fn write_comments(&mut self) {
+        let now_us = self.now_us();
+        for place in 0..self.streams.len() {
+            let Some(stream) = &mut self.streams[place] else { continue };
+            if stream.told.is_none() || stream.comment_due_us > now_us {
+                continue;
+            }
+            let late_us = now_us - stream.comment_due_us;
+            stream.comment_due_us = now_us - late_us % COMMENT_PERIOD_US + COMMENT_PERIOD_US;
+            if self.is_silent {
+                continue;
+            }
+            stream.output.extend(COMMENT);
+            let mut counts = counted(&self.counts);
+            counts.late_us = counts.late_us.max(late_us);
+            counts.bytes.add(now_us, COMMENT.len() as u64);
+            drop(counts);
+            self.flush(place);
+        }
+    }
+
+    fn flush(&mut self, place: usize) {
+        let Some(Some(stream)) = self.streams.get_mut(place) else { return };
+        while !stream.output.is_empty() {
+            match stream.socket.write(&stream.output) {
+                Ok(count) => drop(stream.output.drain(..count)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return self.close(place),
+            }
+        }
+        let interest = Interest { read: true, write: !stream.output.is_empty() };
+        if self.poll.change(&stream.socket, FIRST_STREAM + place as u64, interest, Told::Always).is_err() {
+            self.close(place);
+        }
+    }
+
+    fn count_streams(&mut self) {
+        let last = self.list.last();
+        let begun = || self.streams.iter().flatten().filter(|stream| stream.told.is_some());
+        let told = begun().filter(|stream| stream.told == Some(last) && stream.output.is_empty()).count();
+        let mut counts = counted(&self.counts);
+        (counts.streams, counts.told) = (begun().count() as u64, told as u64);
+    }
+}
--- /dev/null
+++ b/lab/src/hollow/sockets/gateways.rs
@@ -0,0 +1,245 @@
+//! The gateways of a run over loopback: real processes, or hollow ones on threads of few processes.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use super::host::{GATEWAY_DESCRIPTORS, GatewayCounts, configuration_file, thread_name};
+use crate::hollow::bounds::{Bounds, MOST_DESCRIPTORS, processor_ns, resident_bytes};
+use crate::hollow::error::HollowError;
+use crate::hollow::fleet::FleetSize;
+use crate::hollow::settings;
+
+/// How long gateways may take to end after SIGTERM.
+const END_PATIENCE: Duration = Duration::from_secs(20);
+/// Between two looks at whether they have.
+const END_LOOK: Duration = Duration::from_millis(20);
+
+/// How gateways are run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// Each is a process of its own, `wrenhatch serve`.
+    Real,
+    /// Each is a thread, in so many processes.
+    Hollow {
+        /// How many processes.
+        processes: usize,
+    },
+}
+
+/// The programs that a run starts.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// `wrenhatch`.
+    pub gateway: PathBuf,
+    /// `wrenhatch-lab`.
+    pub lab: PathBuf,
+}
+
+impl Programs {
+    /// This program, and the gateway beside it.
+    ///
+    /// # Errors
+    /// The system does not tell this program's place.
+    pub fn beside_this() -> Result<Self, HollowError> {
+        let lab = std::env::current_exe()?;
+        Ok(Self { gateway: lab.with_file_name("wrenhatch"), lab })
+    }
+}
+
+/// Running gateways. They are ended when this is dropped.
+pub struct Gateways {
+    manner: Manner,
+    folder: PathBuf,
+    children: Vec<Child>,
+    /// Process and thread of each gateway.
+    threads: Vec<(u32, u32)>,
+}
+
+impl Gateways {
+    /// Starts the gateways of a fleet.
+    ///
+    /// # Errors
+    /// A bound is passed, or a program can't be started.
+    pub fn start(
+        programs: &Programs,
+        manner: Manner,
+        size: FleetSize,
+        seed: u64,
+        coordinator: SocketAddr,
+    ) -> Result<Self, HollowError> {
+        let kind = if manner == Manner::Real { "real" } else { "hollow" };
+        let folder = std::env::temp_dir().join(format!("wrenhatch-{kind}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| HollowError::File(folder.clone(), e))?;
+        let mut gateways = Self { manner, folder, children: Vec::new(), threads: Vec::new() };
+        for gateway in 0..size.gateways {
+            let path = gateways.folder.join(configuration_file(gateway));
+            let text = settings::configuration(size, gateway, seed, coordinator).to_string();
+            std::fs::write(&path, text).map_err(|e| HollowError::File(path, e))?;
+        }
+        match manner {
+            Manner::Real => gateways.start_real(programs, size.gateways)?,
+            Manner::Hollow { processes } => gateways.start_hollow(programs, size.gateways, processes)?,
+        }
+        Ok(gateways)
+    }
+
+    fn start_real(&mut self, programs: &Programs, count: usize) -> Result<(), HollowError> {
+        Bounds::check_processes(count as u64 + 1)?;
+        for gateway in 0..count {
+            let log = self.folder.join(output_file(gateway));
+            let mut command = Command::new(&programs.gateway);
+            command.arg("serve").env("LB_CONFIG", self.folder.join(configuration_file(gateway)));
+            command.env_remove("LB_NAME").env_remove("LB_LISTEN").env_remove("LB_OPS");
+            command.stderr(create(&log)?).stdout(Stdio::null()).stdin(Stdio::null());
+            self.children.push(command.spawn().map_err(|e| HollowError::File(programs.gateway.clone(), e))?);
+        }
+        Ok(())
+    }
+
+    fn start_hollow(&mut self, programs: &Programs, count: usize, processes: usize) -> Result<(), HollowError> {
+        Bounds::check_processes(processes as u64 + 1)?;
+        let each = count.div_ceil(processes.max(1));
+        if each as u64 * GATEWAY_DESCRIPTORS > MOST_DESCRIPTORS {
+            return Bounds::check_descriptors(each as u64 * GATEWAY_DESCRIPTORS);
+        }
+        for (process, first) in (0..count).step_by(each.max(1)).enumerate() {
+            let log = self.folder.join(output_file(process));
+            let mut command = Command::new(&programs.lab);
+            command.args(["hollow", "host", "--folder"]).arg(&self.folder);
+            command.args(["--first", &first.to_string(), "--count", &each.min(count - first).to_string()]);
+            command.stdout(create(&log)?).stdin(Stdio::null());
+            self.children.push(command.spawn().map_err(|e| HollowError::File(programs.lab.clone(), e))?);
+        }
+        Ok(())
+    }
+
+    /// All processes.
+    pub fn processes(&self) -> Vec<u32> {
+        self.children.iter().map(Child::id).collect()
+    }
+
+    /// Checks that all processes run.
+    ///
+    /// # Errors
+    /// One has ended.
+    pub fn check(&mut self) -> Result<(), HollowError> {
+        for child in &mut self.children {
+            if let Some(status) = child.try_wait()? {
+                return Err(HollowError::Peer(format!("process {} of gateways has ended: {status}", child.id())));
+            }
+        }
+        Ok(())
+    }
+
+    /// Finds the thread of each gateway; to be called once all run.
+    ///
+    /// # Errors
+    /// One is not there.
+    pub fn find_threads(&mut self, count: usize) -> Result<(), HollowError> {
+        self.threads = match self.manner {
+            Manner::Real => self.processes().into_iter().map(|process| (process, process)).collect(),
+            Manner::Hollow { .. } => {
+                let names: BTreeMap<String, (u32, u32)> =
+                    self.processes().into_iter().flat_map(named_threads).collect();
+                (0..count).filter_map(|gateway| names.get(&thread_name(gateway)).copied()).collect()
+            }
+        };
+        if self.threads.len() != count {
+            return Err(HollowError::Peer(format!("{} of {count} gateways run", self.threads.len())));
+        }
+        Ok(())
+    }
+
+    /// Processor time of each gateway so far, in nanoseconds.
+    pub fn processor_ns(&self) -> Vec<u64> {
+        self.threads.iter().map(|(process, thread)| processor_ns(*process, *thread).unwrap_or(0)).collect()
+    }
+
+    /// Anonymous memory of all processes together, in bytes.
+    pub fn resident_bytes(&self) -> u64 {
+        self.processes().into_iter().filter_map(resident_bytes).sum()
+    }
+
+    /// Ends all gateways with SIGTERM; what they have counted, all together.
+    ///
+    /// # Errors
+    /// They don't end, or don't say what they have counted.
+    pub fn end(mut self) -> Result<GatewayCounts, HollowError> {
+        for process in self.processes() {
+            Command::new("kill").args(["-TERM", &process.to_string()]).status()?;
+        }
+        let began = Instant::now();
+        for child in &mut self.children {
+            while child.try_wait()?.is_none() {
+                if began.elapsed() > END_PATIENCE {
+                    return Err(HollowError::Peer(format!("process {} does not end", child.id())));
+                }
+                std::thread::sleep(END_LOOK);
+            }
+        }
+        let mut sum = GatewayCounts::default();
+        for place in 0..self.children.len() {
+            let path = self.folder.join(output_file(place));
+            let text = std::fs::read_to_string(&path).map_err(|e| HollowError::File(path.clone(), e))?;
+            sum = match self.manner {
+                Manner::Real => sum.with(counts_in_log(&text).ok_or_else(|| no_counts(&path))?),
+                Manner::Hollow { .. } => text.lines().try_fold(sum, |sum, line| {
+                    let counts = serde_json::from_str(line).map_err(|e| HollowError::Form(path.clone(), e))?;
+                    Ok::<_, HollowError>(sum.with(counts))
+                })?,
+            };
+        }
+        Ok(sum)
+    }
+}
+
+impl Drop for Gateways {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn output_file(place: usize) -> String {
+    format!("output-{place}")
+}
+
+fn create(path: &Path) -> Result<File, HollowError> {
+    File::create(path).map_err(|e| HollowError::File(path.to_owned(), e))
+}
+
+fn no_counts(path: &Path) -> HollowError {
+    HollowError::Peer(format!("{}: no counts at the gateway's end", path.display()))
+}
+
+/// The counters that a gateway prints at its end.
+fn counts_in_log(log: &str) -> Option<GatewayCounts> {
+    let line = log.lines().rfind(|line| line.contains("counters=") && line.contains("ended"))?;
+    let number = |key: &str| {
+        let word = line.split_whitespace().find_map(|word| word.strip_prefix(key)?.strip_prefix('='))?;
+        word.parse().ok()
+    };
+    Some(GatewayCounts {
+        list_connects: number("list_connects")?,
+        list_events: number("list_events")?,
+        engine_connects: number("engine_connects")?,
+    })
+}
+
+/// The threads of a process by name.
+fn named_threads(process: u32) -> Vec<(String, (u32, u32))> {
+    let Ok(tasks) = std::fs::read_dir(format!("/proc/{process}/task")) else { return Vec::new() };
+    let named = |task: std::fs::DirEntry| {
+        let thread = task.file_name().to_str()?.parse().ok()?;
+        let name = std::fs::read_to_string(task.path().join("comm")).ok()?;
+        Some((name.trim_end().to_owned(), (process, thread)))
+    };
+    tasks.flatten().filter_map(named).collect()
+}
--- /dev/null
+++ b/lab/src/hollow/sockets/host.rs
@@ -0,0 +1,101 @@
+//! A process that holds gateways without clients: each is the gateway's whole program on a thread of its own.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::thread::JoinHandle;
+
+use clap::Args;
+use serde::{Deserialize, Serialize};
+use wrenhatch::config;
+use wrenhatch::net::{Server, Signals};
+
+use crate::hollow::bounds::Bounds;
+use crate::hollow::error::HollowError;
+
+/// Descriptors of one gateway without clients: its poller, its listeners, its signals' pipes, its stream.
+pub const GATEWAY_DESCRIPTORS: u64 = 24;
+/// Memory for the stack of a gateway's thread.
+const STACK: usize = 1 << 20;
+
+/// Which gateways to hold.
+#[derive(Args)]
+pub struct Options {
+    /// The folder that has their configurations.
+    #[arg(long)]
+    folder: PathBuf,
+    /// The number of the first.
+    #[arg(long)]
+    first: usize,
+    /// How many.
+    #[arg(long)]
+    count: usize,
+}
+
+/// What a gateway has counted at its end.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct GatewayCounts {
+    /// Calls for the list.
+    pub list_connects: u64,
+    /// List events taken in.
+    pub list_events: u64,
+    /// Connections opened to databases.
+    pub engine_connects: u64,
+}
+
+impl GatewayCounts {
+    /// Those of both.
+    pub fn with(self, other: Self) -> Self {
+        Self {
+            list_connects: self.list_connects + other.list_connects,
+            list_events: self.list_events + other.list_events,
+            engine_connects: self.engine_connects + other.engine_connects,
+        }
+    }
+}
+
+/// The name of a gateway's thread.
+pub fn thread_name(gateway: usize) -> String {
+    format!("gateway-{gateway}")
+}
+
+/// The file that holds a gateway's configuration.
+pub fn configuration_file(gateway: usize) -> String {
+    format!("gateway-{gateway}.json")
+}
+
+/// Holds gateways until SIGTERM, then prints what each has counted, a line of JSON each.
+///
+/// # Errors
+/// A gateway can't start or ends by itself.
+pub fn run(options: &Options) -> Result<(), HollowError> {
+    Bounds::check_descriptors(options.count as u64 * GATEWAY_DESCRIPTORS)?;
+    let gateways = (options.first..options.first + options.count).map(|gateway| start(options, gateway));
+    let gateways: Vec<_> = gateways.collect::<Result<_, _>>()?;
+    let mut out = std::io::stdout().lock();
+    for gateway in gateways {
+        let counts = match gateway.join() {
+            Ok(counts) => counts?,
+            Err(panic) => std::panic::resume_unwind(panic),
+        };
+        let line = serde_json::to_string(&counts).map_err(std::io::Error::from)?;
+        writeln!(out, "{line}")?;
+    }
+    Ok(())
+}
+
+fn start(options: &Options, gateway: usize) -> Result<JoinHandle<Result<GatewayCounts, HollowError>>, HollowError> {
+    let path = options.folder.join(configuration_file(gateway)).display().to_string();
+    let thread = std::thread::Builder::new().name(thread_name(gateway)).stack_size(STACK);
+    Ok(thread.spawn(move || serve(&path))?)
+}
+
+fn serve(path: &str) -> Result<GatewayCounts, HollowError> {
+    let signals = Signals::catch()?;
+    let peer = |e: wrenhatch::net::ServeError| HollowError::Peer(e.to_string());
+    let counters = Server::new(config::from_file(path)?, signals).map_err(peer)?.run().map_err(peer)?;
+    Ok(GatewayCounts {
+        list_connects: counters.list_connects,
+        list_events: counters.list_events,
+        engine_connects: counters.engine_connects,
+    })
+}
--- /dev/null
+++ b/lab/src/hollow/sockets/mod.rs
@@ -0,0 +1,125 @@
+//! `wrenhatch-lab hollow sockets`: whole gateways without clients, over loopback.
+
+pub mod control;
+pub mod gateways;
+pub mod host;
+pub mod run;
+
+use std::path::PathBuf;
+
+use clap::Args;
+
+use super::error::HollowError;
+use super::figures::{Figure, Mark, Role, add_to_file};
+use super::fleet::FleetSize;
+use super::{BoundOptions, SizeOptions};
+use gateways::{Manner, Programs};
+use run::{PHASE_S, PhaseFigures, RunFigures};
+
+/// Processes that hold hollow gateways, at most.
+const MOST_HOSTS: usize = 100;
+
+/// What to run.
+#[derive(Args)]
+pub struct Options {
+    #[command(flatten)]
+    size: SizeOptions,
+    #[command(flatten)]
+    bounds: BoundOptions,
+    /// Processes that hold the gateways.
+    #[arg(long, default_value_t = 6)]
+    processes: usize,
+    /// Seed of the gateways.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Adds the figures to this file. A comparison with the same counts must stand beside it.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// Runs a fleet and prints what it cost.
+///
+/// # Errors
+/// An option is wrong, a bound is passed, or the run fell behind its schedule.
+pub fn run(options: &Options) -> Result<(), HollowError> {
+    let (size, bounds) = (options.size.size()?, options.bounds.bounds()?);
+    let processes = options.processes;
+    if !(1..=MOST_HOSTS).contains(&processes) {
+        let (value, most) = (processes as u64, MOST_HOSTS as u64);
+        return Err(HollowError::Option { option: "processes", value, least: 1, most });
+    }
+    let programs = Programs::beside_this()?;
+    let figures = run::run(&programs, Manner::Hollow { processes }, size, options.seed, &bounds)?;
+    print(&figures);
+    let FleetSize { gateways, databases, control } = size;
+    let command = format!(
+        "wrenhatch-lab hollow sockets --gateways {gateways} --databases {databases} --control {control} \
+         --processes {processes} --seed {}",
+        options.seed
+    );
+    match &options.json {
+        Some(path) => add_to_file(path, run_figures(&figures, &command)),
+        None => Ok(()),
+    }
+}
+
+/// Prints what a run cost.
+pub fn print(figures: &RunFigures) {
+    println!("phase; gateway ms: mean, worst second, worst 10 s; calls; events; bytes a gateway; late ms");
+    for phase in &figures.phases {
+        println!(
+            "{:<44} {:>8.3} {:>8.3} {:>8.3} {:>6} {:>8} {:>9.0} {:>6.1}",
+            phase.phase,
+            phase.gateway_mean_ms,
+            phase.gateway_worst_second_ms,
+            phase.gateway_worst_phase_ms,
+            phase.calls,
+            phase.events,
+            phase.bytes_a_gateway,
+            phase.late_ms
+        );
+    }
+    println!("counts {:?}", figures.counts);
+    println!("memory a gateway {:.3} MB, in {} processes", figures.bytes_a_gateway / 1e6, figures.processes);
+}
+
+fn run_figures(figures: &RunFigures, command: &str) -> Vec<Figure> {
+    let figure = |role, event: &str, quantity: &str, value: f64, unit: &str| Figure {
+        role,
+        quantity: quantity.to_owned(),
+        event: event.to_owned(),
+        value,
+        unit: unit.to_owned(),
+        mark: Mark::Hollow,
+        command: command.to_owned(),
+    };
+    let mut all: Vec<Figure> =
+        figures.phases.iter().flat_map(|phase| phase_figures(phase, &figure)).collect();
+    let memory = figures.bytes_a_gateway / 1e6;
+    all.push(figure(Role::Gateway, "all phases", "anonymous memory of one gateway at the end, mean", memory, "MB"));
+    all
+}
+
+fn phase_figures(
+    phase: &PhaseFigures,
+    figure: &impl Fn(Role, &str, &str, f64, &str) -> Figure,
+) -> Vec<Figure> {
+    let gateway = |quantity: &str, value: f64, unit: &str| figure(Role::Gateway, &phase.phase, quantity, value, unit);
+    let control = |quantity: &str, value: f64, unit: &str| figure(Role::Control, &phase.phase, quantity, value, unit);
+    // A share of a core over a second is a tenth of the milliseconds in it, in percent.
+    let second = phase.gateway_worst_second_ms / 10.0;
+    let whole = phase.gateway_worst_phase_ms / 10.0 / phase.seconds.max(1.0);
+    let mean = phase.gateway_mean_ms / 10.0 / phase.seconds.max(1.0);
+    let window = if phase.seconds >= PHASE_S as f64 { "worst 10 s" } else { "over the start" };
+    vec![
+        gateway("processor time of one gateway, worst second", second, "% of a core"),
+        gateway(&format!("processor time of one gateway, {window}"), whole, "% of a core"),
+        gateway("processor time of a gateway, mean", mean, "% of a core"),
+        gateway("bytes of the list to a gateway, mean", phase.bytes_a_gateway / 1e3, "KB"),
+        control("calls answered by all control machines", phase.calls as f64, "calls"),
+        control("calls to one control machine, worst second", phase.machine_calls_worst_second as f64, "calls"),
+        control("list events written by all control machines", phase.events as f64, "events"),
+        control("list events written by one machine, worst second", phase.machine_events_worst_second as f64, "events"),
+        control("bytes written by one control machine, worst second", phase.machine_bytes_worst_second as f64 / 1e3, "KB"),
+    ]
+}
--- /dev/null
+++ b/lab/src/hollow/sockets/run.rs
@@ -0,0 +1,309 @@
+//! A run over loopback: control machines, gateways, and phases in which control does one thing each.
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::control::{Command, ControlStandIn, Counts};
+use super::gateways::{Gateways, Manner, Programs};
+use super::host::GatewayCounts;
+use crate::hollow::bounds::Bounds;
+use crate::hollow::error::HollowError;
+use crate::hollow::fleet::{self, FleetSize};
+use crate::hollow::list::{Database, DatabaseList, DatabaseState};
+
+/// Time between two looks at the gateways' processor time.
+const SAMPLE: Duration = Duration::from_secs(1);
+/// How late a step or a comment may be.
+const MOST_LATE: Duration = Duration::from_millis(250);
+/// How long all gateways may take to have the list.
+const START_PATIENCE: Duration = Duration::from_secs(60);
+/// Between two looks at whether they have.
+const START_LOOK: Duration = Duration::from_millis(50);
+/// Length of a phase, in seconds: the worst ten seconds are all of it.
+pub const PHASE_S: u64 = 10;
+/// Control machines write no comments for so long in the phase `silence`: gateways take a stream for dead after
+/// 2.5 to 3 s without one.
+pub const SILENCE: Duration = Duration::from_millis(3500);
+/// A control machine that ended listens again after this.
+pub const AWAY: Duration = Duration::from_secs(3);
+/// Unix milliseconds of a database's start where it comes back.
+pub const RETURN_MS: u64 = 1_700_000_000_000;
+
+/// What control does in a phase.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// All gateways start and get the whole list.
+    Start,
+    /// Nothing but comments.
+    Quiet,
+    /// One database drains.
+    OneChange,
+    /// The databases of a zone go, each by an event of its own.
+    ZoneGoes,
+    /// They are back, each by an event of its own.
+    ZoneReturns,
+    /// One control machine ends, and listens again after a while.
+    ControlEnds,
+    /// All control machines end all streams.
+    StreamsEnd,
+    /// No control machine writes comments.
+    Silence,
+}
+
+impl Phase {
+    /// All phases behind the start, in order.
+    pub const ALL: [Self; 7] = [
+        Self::Quiet,
+        Self::OneChange,
+        Self::ZoneGoes,
+        Self::ZoneReturns,
+        Self::ControlEnds,
+        Self::StreamsEnd,
+        Self::Silence,
+    ];
+
+    /// Its name in figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Start => "start of all gateways with an empty list",
+            Self::Quiet => "quiet",
+            Self::OneChange => "one change of the list",
+            Self::ZoneGoes => "zone: its databases go",
+            Self::ZoneReturns => "zone: its databases return",
+            Self::ControlEnds => "one control process ends",
+            Self::StreamsEnd => "all watchers reconnect",
+            Self::Silence => "all control machines silent for 3.5 s",
+        }
+    }
+}
+
+/// What a phase cost.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PhaseFigures {
+    /// The phase's name.
+    pub phase: String,
+    /// Processor time of a gateway over the phase, in the mean over gateways, in ms.
+    pub gateway_mean_ms: f64,
+    /// Processor time of the gateway that used most in any second, in ms.
+    pub gateway_worst_second_ms: f64,
+    /// Processor time of the gateway that used most over the phase, in ms.
+    pub gateway_worst_phase_ms: f64,
+    /// Seconds of the phase.
+    pub seconds: f64,
+    /// Calls that control answered.
+    pub calls: u64,
+    /// Calls to one control machine in its worst second.
+    pub machine_calls_worst_second: u64,
+    /// List events written, once for each stream.
+    pub events: u64,
+    /// Events by one control machine in its worst second.
+    pub machine_events_worst_second: u64,
+    /// Bytes of list events written.
+    pub event_bytes: u64,
+    /// Bytes that one control machine wrote in its worst second.
+    pub machine_bytes_worst_second: u64,
+    /// All bytes written for one gateway, in the mean.
+    pub bytes_a_gateway: f64,
+    /// Streams that control ended.
+    pub ended: u64,
+    /// How late a comment was at the worst, in ms.
+    pub late_ms: f64,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RunFigures {
+    /// Its phases, in order.
+    pub phases: Vec<PhaseFigures>,
+    /// What gateways have counted, all together.
+    pub counts: GatewayCounts,
+    /// Anonymous memory of a gateway at the end, in the mean, in bytes.
+    pub bytes_a_gateway: f64,
+    /// Anonymous memory of one process of gateways beside theirs can't be told apart: how many processes shared it.
+    pub processes: usize,
+}
+
+/// A fleet over loopback.
+pub struct Run<'a> {
+    size: FleetSize,
+    bounds: &'a Bounds,
+    control: Vec<ControlStandIn>,
+    gateways: Gateways,
+    last_sample_ns: Vec<u64>,
+}
+
+/// Runs a fleet through all phases.
+///
+/// # Errors
+/// A bound is passed, the run fell behind its schedule, or a peer did not do its part.
+pub fn run(
+    programs: &Programs,
+    manner: Manner,
+    size: FleetSize,
+    seed: u64,
+    bounds: &Bounds,
+) -> Result<RunFigures, HollowError> {
+    let (address, control) = ControlStandIn::start_all(size.control, &DatabaseList::new(size.databases))?;
+    let gateways = Gateways::start(programs, manner, size, seed, address)?;
+    let mut run = Run { size, bounds, control, gateways, last_sample_ns: Vec::new() };
+    let mut phases = vec![run.start()?];
+    for phase in Phase::ALL {
+        phases.push(run.phase(phase)?);
+    }
+    run.await_all()?;
+    let processes = run.gateways.processes().len();
+    let bytes_a_gateway = run.gateways.resident_bytes() as f64 / size.gateways as f64;
+    let counts = run.gateways.end()?;
+    Ok(RunFigures { phases, counts, bytes_a_gateway, processes })
+}
+
+impl Run<'_> {
+    fn start(&mut self) -> Result<PhaseFigures, HollowError> {
+        let began = Instant::now();
+        self.await_all()?;
+        self.gateways.find_threads(self.size.gateways)?;
+        self.last_sample_ns = vec![0; self.size.gateways];
+        let sample = self.sample();
+        self.figures(Phase::Start, began.elapsed(), &[sample])
+    }
+
+    /// Waits until every gateway has a stream and has been written the whole list.
+    fn await_all(&mut self) -> Result<(), HollowError> {
+        let began = Instant::now();
+        loop {
+            self.bounds.check(&self.gateways.processes())?;
+            self.gateways.check()?;
+            let told: u64 = self.control.iter().map(|machine| machine.counts().told).sum();
+            if told == self.size.gateways as u64 {
+                return Ok(());
+            }
+            if began.elapsed() > START_PATIENCE {
+                let of = self.size.gateways;
+                return Err(HollowError::Peer(format!("{told} of {of} gateways have the list")));
+            }
+            sleep(START_LOOK);
+        }
+    }
+
+    fn phase(&mut self, phase: Phase) -> Result<PhaseFigures, HollowError> {
+        self.control.iter().for_each(|machine| machine.tell(Command::Measure));
+        self.sample();
+        let began = Instant::now();
+        self.act(phase);
+        let mut samples = Vec::new();
+        let mut is_over = false;
+        for second in 1..=PHASE_S {
+            if !is_over && self.ends_within(phase, second) {
+                self.sleep_until(began + acts_for(phase))?;
+                self.act_at_end(phase);
+                is_over = true;
+            }
+            self.sleep_until(began + SAMPLE * second as u32)?;
+            samples.push(self.sample());
+            self.bounds.check(&self.gateways.processes())?;
+            self.gateways.check()?;
+        }
+        self.figures(phase, began.elapsed(), &samples)
+    }
+
+    fn ends_within(&self, phase: Phase, second: u64) -> bool {
+        acts_for(phase) < SAMPLE * second as u32 && !acts_for(phase).is_zero()
+    }
+
+    fn sleep_until(&self, due: Instant) -> Result<(), HollowError> {
+        sleep(due.saturating_duration_since(Instant::now()));
+        check_late("a step", due.elapsed())
+    }
+
+    fn tell_all(&self, command: &Command) {
+        self.control.iter().for_each(|machine| machine.tell(command.clone()));
+    }
+
+    fn change(&self, number: usize, state: DatabaseState, since_ms: u64) {
+        self.tell_all(&Command::Change(vec![Database { number, state, since_ms }]));
+    }
+
+    fn act(&self, phase: Phase) {
+        let zone = || (0..self.size.databases).filter(|number| fleet::zone(*number) == 0);
+        match phase {
+            Phase::Start | Phase::Quiet => {}
+            Phase::OneChange => self.change(0, DatabaseState::Terminating, 0),
+            Phase::ZoneGoes => zone().for_each(|number| self.change(number, DatabaseState::Gone, 0)),
+            Phase::ZoneReturns => {
+                zone().for_each(|number| self.change(number, DatabaseState::Ready, RETURN_MS));
+            }
+            Phase::ControlEnds => self.control[0].tell(Command::Leave),
+            Phase::StreamsEnd => self.tell_all(&Command::EndStreams),
+            Phase::Silence => self.tell_all(&Command::Silent(true)),
+        }
+    }
+
+    fn act_at_end(&self, phase: Phase) {
+        match phase {
+            Phase::ControlEnds => self.control[0].tell(Command::Return),
+            Phase::Silence => self.tell_all(&Command::Silent(false)),
+            _ => {}
+        }
+    }
+
+    /// Processor time of each gateway since the last look, in nanoseconds.
+    fn sample(&mut self) -> Vec<u64> {
+        let now_ns = self.gateways.processor_ns();
+        let last_ns = std::mem::replace(&mut self.last_sample_ns, now_ns.clone());
+        now_ns.iter().zip(last_ns).map(|(now, last)| now.saturating_sub(last)).collect()
+    }
+
+    fn figures(
+        &self,
+        phase: Phase,
+        elapsed: Duration,
+        samples: &[Vec<u64>],
+    ) -> Result<PhaseFigures, HollowError> {
+        let counts: Vec<Counts> = self.control.iter().map(ControlStandIn::counts).collect();
+        let late_us = counts.iter().map(|machine| machine.late_us).max().unwrap_or(0);
+        check_late("a comment", Duration::from_micros(late_us))?;
+        let ms = |ns: u64| ns as f64 / 1e6;
+        let whole: Vec<u64> = (0..self.size.gateways)
+            .map(|gateway| samples.iter().map(|sample| sample[gateway]).sum())
+            .collect();
+        let sum = |of: fn(&Counts) -> u64| counts.iter().map(of).sum::<u64>();
+        let most = |of: fn(&Counts) -> u64| counts.iter().map(of).max().unwrap_or(0);
+        let gateways = self.size.gateways as f64;
+        Ok(PhaseFigures {
+            phase: phase.name().to_owned(),
+            gateway_mean_ms: ms(whole.iter().sum()) / gateways,
+            gateway_worst_second_ms: ms(samples.iter().flatten().copied().max().unwrap_or(0)),
+            gateway_worst_phase_ms: ms(whole.iter().copied().max().unwrap_or(0)),
+            seconds: elapsed.as_secs_f64(),
+            calls: sum(|machine| machine.calls.total()),
+            machine_calls_worst_second: most(|machine| machine.calls.worst_second()),
+            events: sum(|machine| machine.events.total()),
+            machine_events_worst_second: most(|machine| machine.events.worst_second()),
+            event_bytes: sum(|machine| machine.event_bytes.total()),
+            machine_bytes_worst_second: most(|machine| machine.bytes.worst_second()),
+            bytes_a_gateway: sum(|machine| machine.bytes.total()) as f64 / gateways,
+            ended: sum(|machine| machine.ended),
+            late_ms: late_us as f64 / 1e3,
+        })
+    }
+}
+
+/// For how long control does what the phase is named for; zero if it does it at once.
+fn acts_for(phase: Phase) -> Duration {
+    match phase {
+        Phase::ControlEnds => AWAY,
+        Phase::Silence => SILENCE,
+        _ => Duration::ZERO,
+    }
+}
+
+/// A run that is later than this says nothing about the gateway.
+fn check_late(what: &'static str, late: Duration) -> Result<(), HollowError> {
+    if late <= MOST_LATE {
+        return Ok(());
+    }
+    let (late_ms, most_ms) = (late.as_millis() as u64, MOST_LATE.as_millis() as u64);
+    Err(HollowError::Late { what, late_ms, most_ms })
+}
