--- a/lab/src/hollow/figures.rs
+++ b/lab/src/hollow/figures.rs
@@ -67,9 +67,9 @@
         serde_json::from_str(&text).map_err(|e| HollowError::Form(path.to_owned(), e))
     }
 
-    /// Puts these figures in the place of those of the same mark and event.
+    /// Puts these figures in the place of those that the same commands gave.
     pub fn replace(&mut self, fresh: Vec<Figure>) {
-        let same = |old: &Figure, new: &Figure| old.mark == new.mark && old.event == new.event;
+        let same = |old: &Figure, new: &Figure| old.command == new.command;
         self.figures.retain(|old| !fresh.iter().any(|new| same(old, new)));
         self.figures.extend(fresh);
     }
--- a/lab/src/hollow/model/control.rs
+++ b/lab/src/hollow/model/control.rs
@@ -53,8 +53,12 @@
     pub calls: Load,
     /// List events written, once for each stream.
     pub events: Load,
-    /// Bytes written.
+    /// Bytes of these events.
+    pub event_bytes: u64,
+    /// All bytes written.
     pub bytes: Load,
+    /// Streams that it has ended.
+    pub ended: u64,
     /// Most streams at once.
     pub most_streams: usize,
     /// The longest time that work waited for the worker, in microseconds.
@@ -74,7 +78,9 @@
             streams: BTreeMap::new(),
             calls: Load::default(),
             events: Load::default(),
+            event_bytes: 0,
             bytes: Load::default(),
+            ended: 0,
             most_streams: 0,
             longest_wait_us: 0,
             most_unsent_bytes: 0,
@@ -101,12 +107,14 @@
     pub fn end(&mut self, state: ControlState) -> Vec<ConnectionId> {
         self.state = state;
         self.busy_until_us = 0;
+        self.ended += self.streams.len() as u64;
         std::mem::take(&mut self.streams).into_keys().collect()
     }
 
     /// What was before does not count, but for the streams that are open.
     pub fn begin_measurement(&mut self) {
         (self.calls, self.events, self.bytes) = Default::default();
+        (self.event_bytes, self.ended) = (0, 0);
         self.most_streams = self.streams.len();
         (self.longest_wait_us, self.most_unsent_bytes) = (0, 0);
     }
--- a/lab/src/hollow/model/mod.rs
+++ b/lab/src/hollow/model/mod.rs
@@ -29,8 +29,8 @@
 use super::settings;
 use control::{CALL_US, ControlMachine, ControlState, ControlStream, STALLED_US, write_cost_us};
 use gateway::HollowGateway;
-pub use measure::{Measured, Worst};
 use measure::{GatewayLoads, InForce};
+pub use measure::{Measured, Worst};
 use watch::WatchRequest;
 
 /// The number of a connection, never given out twice.
@@ -123,7 +123,9 @@
     connections: Vec<Connection>,
     /// What the router of each region takes each control machine for.
     routed: [Vec<bool>; 2],
+    router_detection_us: u64,
     is_cut: bool,
+    is_silent: bool,
     changes: Vec<(u64, Vec<Database>)>,
     in_force: InForce,
     calls_in_step: super::load::SlidingMaximum,
@@ -152,7 +154,9 @@
             machines: (0..size.control).map(machine).collect(),
             connections: Vec::new(),
             routed: [vec![true; size.control], vec![true; size.control]],
+            router_detection_us: ROUTER_DETECTION_US,
             is_cut: false,
+            is_silent: false,
             changes: Vec::new(),
             in_force: InForce::default(),
             calls_in_step: super::load::SlidingMaximum::new(super::load::TENTH_US),
@@ -164,6 +168,12 @@
         model
     }
 
+    /// The same with a router that acts so many microseconds behind what happens.
+    pub fn with_router_detection(mut self, router_detection_us: u64) -> Self {
+        self.router_detection_us = router_detection_us;
+        self
+    }
+
     /// Plays a script to its end.
     ///
     /// # Errors
@@ -237,6 +247,8 @@
                     self.set_control(machine, state);
                 }
             }
+            Action::EndStreams => self.end_streams(),
+            Action::Silent(is_silent) => self.silence(*is_silent),
         }
     }
 
@@ -275,9 +287,29 @@
         self.reroute(machine);
     }
 
+    fn end_streams(&mut self) {
+        for machine in 0..self.size.control {
+            for connection in self.machines[machine].end(ControlState::Serves) {
+                self.end_to_gateway(connection);
+            }
+        }
+    }
+
+    fn silence(&mut self, is_silent: bool) {
+        self.is_silent = is_silent;
+        if is_silent {
+            return;
+        }
+        let streams: Vec<_> =
+            self.machines.iter().flat_map(|machine| machine.streams.keys().copied()).collect();
+        for connection in streams {
+            self.write(connection, COMMENT.into());
+        }
+    }
+
     fn reroute(&mut self, machine: usize) {
         for region in 0..2 {
-            self.plan(self.now_us + ROUTER_DETECTION_US, Occurrence::Route { region, machine });
+            self.plan(self.now_us + self.router_detection_us, Occurrence::Route { region, machine });
         }
     }
 
@@ -454,6 +486,7 @@
             stream.told = *number;
         }
         machine.events.add(now_us, events.len() as u64);
+        machine.event_bytes += events.iter().map(|(_, text)| text.len() as u64).sum::<u64>();
         for (_, text) in events {
             self.write(connection, text);
         }
@@ -467,7 +500,9 @@
             machine.streams.remove(&connection);
             return;
         }
-        self.write(connection, COMMENT.into());
+        if !self.is_silent {
+            self.write(connection, COMMENT.into());
+        }
         self.plan(now_us + COMMENT_PERIOD_US, Occurrence::Comment(connection));
     }
 
--- a/lab/src/hollow/model/watch.rs
+++ b/lab/src/hollow/model/watch.rs
@@ -125,7 +125,12 @@
     }
 
     /// Bytes have come; the events that are to be taken in now, in order.
-    pub fn received(&mut self, now_us: u64, bytes: &[u8], requests: &mut Vec<WatchRequest>) -> Vec<ListEvent> {
+    pub fn received(
+        &mut self,
+        now_us: u64,
+        bytes: &[u8],
+        requests: &mut Vec<WatchRequest>,
+    ) -> Vec<ListEvent> {
         let Some(connection) = &mut self.connection else { return Vec::new() };
         connection.input.extend_from_slice(bytes);
         let (mut events, before) = (Vec::new(), connection.stream.lines());
--- a/lab/src/hollow/sockets/gateways.rs
+++ b/lab/src/hollow/sockets/gateways.rs
@@ -100,7 +100,12 @@
         Ok(())
     }
 
-    fn start_hollow(&mut self, programs: &Programs, count: usize, processes: usize) -> Result<(), HollowError> {
+    fn start_hollow(
+        &mut self,
+        programs: &Programs,
+        count: usize,
+        processes: usize,
+    ) -> Result<(), HollowError> {
         Bounds::check_processes(processes as u64 + 1)?;
         let each = count.div_ceil(processes.max(1));
         if each as u64 * GATEWAY_DESCRIPTORS > MOST_DESCRIPTORS {
@@ -129,7 +134,10 @@
     pub fn check(&mut self) -> Result<(), HollowError> {
         for child in &mut self.children {
             if let Some(status) = child.try_wait()? {
-                return Err(HollowError::Peer(format!("process {} of gateways has ended: {status}", child.id())));
+                return Err(HollowError::Peer(format!(
+                    "process {} of gateways has ended: {status}",
+                    child.id()
+                )));
             }
         }
         Ok(())
@@ -188,7 +196,8 @@
             sum = match self.manner {
                 Manner::Real => sum.with(counts_in_log(&text).ok_or_else(|| no_counts(&path))?),
                 Manner::Hollow { .. } => text.lines().try_fold(sum, |sum, line| {
-                    let counts = serde_json::from_str(line).map_err(|e| HollowError::Form(path.clone(), e))?;
+                    let counts =
+                        serde_json::from_str(line).map_err(|e| HollowError::Form(path.clone(), e))?;
                     Ok::<_, HollowError>(sum.with(counts))
                 })?,
             };
--- a/lab/src/hollow/sockets/host.rs
+++ b/lab/src/hollow/sockets/host.rs
@@ -83,7 +83,10 @@
     Ok(())
 }
 
-fn start(options: &Options, gateway: usize) -> Result<JoinHandle<Result<GatewayCounts, HollowError>>, HollowError> {
+fn start(
+    options: &Options,
+    gateway: usize,
+) -> Result<JoinHandle<Result<GatewayCounts, HollowError>>, HollowError> {
     let path = options.folder.join(configuration_file(gateway)).display().to_string();
     let thread = std::thread::Builder::new().name(thread_name(gateway)).stack_size(STACK);
     Ok(thread.spawn(move || serve(&path))?)
