--- a/lab/src/hollow/compare.rs
+++ b/lab/src/hollow/compare.rs
@@ -85,7 +85,9 @@
     pub hollow: Side,
     /// The control-side code in simulated time.
     pub simulated: Side,
-    /// Processor time of a hollow gateway over that of a real one, over all phases that kept to their schedule.
+    /// Processor time of a hollow gateway over that of a real one, at the start. A real one's program is started too.
+    pub processor_ratio_start: f64,
+    /// The same over all phases behind the start that kept to their schedule.
     pub processor_ratio: f64,
     /// Memory of a hollow gateway over that of a real one.
     pub memory_ratio: f64,
@@ -138,6 +140,7 @@
             "wrenhatch-lab hollow compare --gateways {gateways} --databases {databases} --control {control} \
              --seed {seed}"
         ),
+        processor_ratio_start: hollow.phases[0].gateway_mean_ms / real.phases[0].gateway_mean_ms,
         processor_ratio: processor_ms(&hollow, &real, &hollow) / processor_ms(&real, &real, &hollow),
         memory_ratio: hollow.bytes_a_gateway / real.bytes_a_gateway,
         real: side(real),
@@ -148,7 +151,8 @@
     println!("      hollow {:?}", comparison.hollow.counts);
     println!("   simulated {:?}", comparison.simulated.counts);
     println!(
-        "hollow over real: processor time {:.3}, memory {:.3}; counts are {}",
+        "hollow over real: processor time {:.3} at the start, {:.3} behind it, memory {:.3}; counts are {}",
+        comparison.processor_ratio_start,
         comparison.processor_ratio,
         comparison.memory_ratio,
         if comparison.has_same_counts() { "the same" } else { "NOT the same" }
@@ -170,10 +174,10 @@
     Side { counts, run: Some(run) }
 }
 
-/// Processor time of a gateway over the phases that both runs kept to their schedule in.
+/// Processor time of a gateway over the phases behind the start that both runs kept to their schedule in.
 fn processor_ms(of: &RunFigures, one: &RunFigures, other: &RunFigures) -> f64 {
     let usable = |place: usize| one.phases[place].is_usable() && other.phases[place].is_usable();
-    let phases = of.phases.iter().enumerate().filter(|(place, _)| usable(*place));
+    let phases = of.phases.iter().enumerate().filter(|(place, _)| *place > 0 && usable(*place));
     phases.map(|(_, phase)| phase.gateway_mean_ms).sum()
 }
 
--- /dev/null
+++ b/lab/tests/hollow.rs
@@ -0,0 +1,250 @@
+//! Hollow runs: small fleets with fixed seeds, bounds, and wrong input.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+use wrenhatch_lab::hollow::bounds::{Bounds, MOST_DESCRIPTORS, MOST_MEMORY_MB, MOST_PROCESSES};
+use wrenhatch_lab::hollow::compare::{Counts, simulated_counts};
+use wrenhatch_lab::hollow::error::HollowError;
+use wrenhatch_lab::hollow::events;
+use wrenhatch_lab::hollow::figures::{Figure, FigureFile, Mark, Role, add_to_file, comparison_path};
+use wrenhatch_lab::hollow::fleet::FleetSize;
+use wrenhatch_lab::hollow::list::{Database, DatabaseList, DatabaseState, KEPT_EVENTS, last_event_id};
+use wrenhatch_lab::hollow::load::{Load, SECOND_US, SlidingMaximum};
+use wrenhatch_lab::hollow::model::Measured;
+use wrenhatch_lab::hollow::simulate::{event_figures, play};
+use wrenhatch_lab::hollow::sockets::gateways::{Manner, Programs};
+use wrenhatch_lab::hollow::sockets::run::{self, Phase, PhaseFigures, Plan};
+
+const SMALL: FleetSize = FleetSize { gateways: 25, databases: 50, control: 7 };
+
+fn bounds() -> Bounds {
+    Bounds::new(MOST_MEMORY_MB, Duration::from_secs(600))
+}
+
+fn played(event: &str, seed: u64) -> Measured {
+    play(event, SMALL, seed, &bounds()).unwrap()
+}
+
+fn changed(number: usize) -> [Database; 1] {
+    [Database { number, state: DatabaseState::Terminating, since_ms: 0 }]
+}
+
+#[test]
+fn the_worst_second_is_any_second_not_one_of_the_clock() {
+    let mut load = Load::default();
+    for (at_us, amount) in [(900_000, 3), (1_100_000, 4), (1_899_999, 1), (1_900_000, 1), (9_000_000, 2)] {
+        load.add(at_us, amount);
+    }
+    assert_eq!((load.worst_second(), load.worst_ten_seconds(), load.total()), (8, 11, 11));
+    let mut maximum = SlidingMaximum::new(SECOND_US);
+    maximum.add(0, 5);
+    maximum.add(SECOND_US, 5);
+    assert_eq!(maximum.most(), 5);
+}
+
+#[test]
+fn a_stream_goes_on_behind_the_last_event_or_gets_the_whole_list() {
+    let mut list = DatabaseList::new(3);
+    assert_eq!(list.change(&changed(1)), 2);
+    assert_eq!(list.change(&changed(2)), 3);
+    let numbers = |list: &DatabaseList, after| -> Vec<u64> {
+        list.events(after).into_iter().map(|(number, _)| number).collect()
+    };
+    assert_eq!(numbers(&list, 0), [3]);
+    assert_eq!(numbers(&list, 1), [2, 3]);
+    assert_eq!(numbers(&list, 2), [3]);
+    assert!(numbers(&list, 3).is_empty());
+    for _ in 0..KEPT_EVENTS {
+        list.change(&changed(0));
+    }
+    let last = list.last();
+    assert_eq!(numbers(&list, 2), [last], "event 3 is not kept any more");
+    assert_eq!(numbers(&list, last - 1), [last]);
+}
+
+#[test]
+fn the_call_of_a_gateway_is_read() {
+    let mut call = Vec::new();
+    wrenhatch::coordinator::open(41, &mut call);
+    assert_eq!(last_event_id(&call), Some(41));
+    assert_eq!(last_event_id(&call[..call.len() - 1]), None);
+    assert_eq!(last_event_id(b"GET / HTTP/1.1\r\n\r\n"), None);
+}
+
+#[test]
+fn a_change_reaches_every_gateway_without_a_call() {
+    let measured = played("one change of the list", 1);
+    assert_eq!((measured.events, measured.calls), (SMALL.gateways as u64, 0));
+    assert_eq!((measured.behind, measured.without_stream), (0, 0));
+    assert!(measured.in_force_last_us >= measured.in_force_median_us);
+}
+
+#[test]
+fn after_each_event_every_gateway_has_the_list_and_a_stream() {
+    for event in events::names().filter(|name| *name != "ordinary hour") {
+        for seed in 1..=2 {
+            let measured = played(event, seed);
+            assert_eq!((measured.behind, measured.without_stream), (0, 0), "{event}, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures() {
+    for event in ["zone", "regions cut off", "all watchers reconnect"] {
+        assert_eq!(played(event, 3), played(event, 3), "{event}");
+    }
+    assert_ne!(played("zone", 3), played("zone", 4));
+}
+
+#[test]
+fn watchers_that_lose_their_streams_call_at_moments_of_their_own() {
+    let measured = played("all watchers reconnect", 1);
+    assert!(measured.calls >= SMALL.gateways as u64 / 2, "five of seven machines have gone: {measured:?}");
+    assert!(measured.calls_in_step < measured.calls);
+    assert!(measured.control_streams >= SMALL.gateways as u64 / 2, "two machines are left");
+}
+
+#[test]
+fn a_cut_is_over_once_the_changes_behind_it_are_told() {
+    let measured = played("regions cut off", 1);
+    assert!(measured.in_force_last_us > 100 * SECOND_US, "the second region hears nothing meanwhile");
+    assert!(measured.control_unsent_bytes > 0);
+}
+
+#[test]
+fn counts_in_simulated_time_are_those_of_real_processes() {
+    // As `wrenhatch-lab hollow compare` counted 20 real processes.
+    let size = FleetSize { gateways: 20, databases: 60, control: 2 };
+    let counted = Counts { list_calls: 40, list_events: 520, event_bytes: 267_760, engine_connects: 0 };
+    for seed in 1..=3 {
+        assert_eq!(simulated_counts(size, seed, &bounds()).unwrap(), counted, "seed {seed}");
+    }
+}
+
+#[test]
+fn whole_gateways_without_clients_take_in_the_list_over_loopback() {
+    let lab = PathBuf::from(env!("CARGO_BIN_EXE_wrenhatch-lab"));
+    let programs = Programs { gateway: lab.with_file_name("wrenhatch"), lab };
+    let size = FleetSize { gateways: 4, databases: 10, control: 2 };
+    let plan = Plan { phases: &[Phase::OneChange, Phase::ZoneGoes], phase_s: 1 };
+    let figures = run::run(&programs, Manner::Hollow { processes: 2 }, plan, size, 1, &bounds()).unwrap();
+    // The whole list, one change, and one for each of the two databases of a zone.
+    assert_eq!(figures.counts.list_events, 4 * (1 + 1 + 2));
+    assert!(figures.counts.list_connects >= 4);
+    assert_eq!(figures.counts.engine_connects, 0);
+    assert_eq!(figures.phases.len(), 3);
+}
+
+#[test]
+fn a_run_that_outgrows_a_bound_stops_and_says_which() {
+    let this = [std::process::id()];
+    let message = |result: Result<(), HollowError>| result.unwrap_err().to_string();
+    assert!(bounds().check(&this).is_ok());
+    assert!(message(Bounds::new(0, Duration::from_secs(600)).check(&this)).contains("bound of memory"));
+    assert!(message(Bounds::new(MOST_MEMORY_MB, Duration::ZERO).check(&this)).contains("bound of time"));
+    assert!(message(Bounds::check_processes(MOST_PROCESSES + 1)).contains("bound of processes"));
+    assert!(message(Bounds::check_descriptors(MOST_DESCRIPTORS + 1)).contains("bound of descriptors"));
+    let late = Bounds::new(MOST_MEMORY_MB, Duration::ZERO);
+    let large = FleetSize { gateways: 400, databases: 10, control: 7 };
+    let stopped = play("regions cut off", large, 1, &late);
+    assert!(matches!(stopped, Err(HollowError::Bound { bound: "time", .. })));
+}
+
+#[test]
+fn a_phase_that_fell_behind_its_schedule_is_not_usable() {
+    let phase = |late_ms| PhaseFigures {
+        phase: "quiet".to_owned(),
+        gateway_mean_ms: 1.0,
+        gateway_worst_second_ms: 1.0,
+        gateway_worst_phase_ms: 1.0,
+        seconds: 10.0,
+        calls: 0,
+        machine_calls_worst_second: 0,
+        events: 0,
+        machine_events_worst_second: 0,
+        event_bytes: 0,
+        machine_bytes_worst_second: 0,
+        bytes_a_gateway: 0.0,
+        ended: 0,
+        late_ms,
+    };
+    assert!(phase(250.0).is_usable());
+    assert!(!phase(251.0).is_usable());
+}
+
+#[test]
+fn figures_need_a_comparison_with_the_same_counts() {
+    let folder = std::env::temp_dir().join(format!("wrenhatch-hollow-figures-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("hollow.json");
+    let figures = event_figures("zone", &Measured::default(), "a command");
+    assert!(matches!(add_to_file(&path, figures.clone()), Err(HollowError::NoComparison(_))));
+    std::fs::write(comparison_path(&path), "{}").unwrap();
+    assert!(matches!(add_to_file(&path, figures.clone()), Err(HollowError::Form(..))));
+    let side = |calls: u64| {
+        format!(
+            "{{\"counts\":{{\"list_calls\":{calls},\"list_events\":1,\"event_bytes\":1,\"engine_connects\":0}},\"run\":null}}"
+        )
+    };
+    let comparison = |simulated: u64| {
+        let (same, other) = (side(1), side(simulated));
+        format!(
+            "{{\"gateways\":1,\"databases\":1,\"control\":1,\"command\":\"\",\"real\":{same},\"hollow\":{same},\
+             \"simulated\":{other},\"processor_ratio_start\":1.0,\"processor_ratio\":1.0,\"memory_ratio\":1.0}}"
+        )
+    };
+    std::fs::write(comparison_path(&path), comparison(2)).unwrap();
+    assert!(matches!(add_to_file(&path, figures.clone()), Err(HollowError::NoComparison(_))));
+    std::fs::write(comparison_path(&path), comparison(1)).unwrap();
+    add_to_file(&path, figures.clone()).unwrap();
+    add_to_file(&path, figures.clone()).unwrap();
+    assert_eq!(FigureFile::read(&path).unwrap().figures, figures, "once, however often");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn figures_have_the_form_of_the_page() {
+    let figure = Figure {
+        role: Role::Control,
+        quantity: "calls".to_owned(),
+        event: "zone".to_owned(),
+        value: 1.0,
+        unit: "calls".to_owned(),
+        mark: Mark::Simulated,
+        command: "a command".to_owned(),
+    };
+    let text = serde_json::to_value(FigureFile { figures: vec![figure] }).unwrap();
+    let wanted = serde_json::json!({"figures": [{"role": "control", "quantity": "calls", "event": "zone",
+        "value": 1.0, "unit": "calls", "mark": "simulated", "command": "a command"}]});
+    assert_eq!(text, wanted);
+}
+
+#[test]
+fn wrong_options_get_one_clear_error() {
+    let cases: [(&[&str], &str); 9] = [
+        (&["simulate", "--gateways", "0"], "--gateways: 0 is not from 1 to 2000"),
+        (&["simulate", "--databases", "1000000"], "--databases: 1000000 is not from 1 to 5000"),
+        (&["simulate", "--control", "51"], "--control: 51 is not from 1 to 50"),
+        (&["simulate", "--seeds", "0"], "--seeds: 0 is not from 1 to 100"),
+        (&["simulate", "--event", "flood"], "--event: no event is named flood"),
+        (&["simulate", "--memory-mb", "99999999"], "--memory-mb: 99999999 is not from 1 to 12288"),
+        (&["sockets", "--processes", "0"], "--processes: 0 is not from 1 to 100"),
+        (&["sockets", "--limit-s", "0"], "--limit-s: 0 is not from 1 to 3600"),
+        (&["compare", "--rack"], "unexpected argument '--rack'"),
+    ];
+    for (arguments, message) in cases {
+        let output = Command::new(env!("CARGO_BIN_EXE_wrenhatch-lab"))
+            .arg("hollow")
+            .args(arguments)
+            .env("RUST_BACKTRACE", "0")
+            .output()
+            .unwrap();
+        assert!(!output.status.success(), "{arguments:?}");
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert!(error.contains(message), "{arguments:?}: {error}");
+        assert_eq!(error.to_lowercase().matches("error").count(), 1, "{arguments:?}: {error}");
+    }
+}
