--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -141,12 +141,14 @@
 #[test]
 fn a_run_that_outgrows_a_bound_stops_and_says_which() {
     let this = [std::process::id()];
+    let held = std::hint::black_box(vec![1_u8; 8 << 20]);
     let message = |result: Result<(), HollowError>| result.unwrap_err().to_string();
     assert!(bounds().check(&this).is_ok());
     assert!(message(Bounds::new(0, Duration::from_secs(600)).check(&this)).contains("bound of memory"));
     assert!(message(Bounds::new(MOST_MEMORY_MB, Duration::ZERO).check(&this)).contains("bound of time"));
     assert!(message(Bounds::check_processes(MOST_PROCESSES + 1)).contains("bound of processes"));
     assert!(message(Bounds::check_descriptors(MOST_DESCRIPTORS + 1)).contains("bound of descriptors"));
+    drop(held);
     let late = Bounds::new(MOST_MEMORY_MB, Duration::ZERO);
     let large = FleetSize { gateways: 400, databases: 10, control: 7 };
     let stopped = play("regions cut off", large, 1, &late);
