--- a/lab/src/hollow/sockets/mod.rs
+++ b/lab/src/hollow/sockets/mod.rs
@@ -102,13 +102,17 @@
         .flat_map(|phase| phase_figures(phase, &figure))
         .collect();
     let memory = figures.bytes_a_gateway / 1e6;
-    all.push(figure(
-        Role::Gateway,
-        "all phases",
-        "anonymous memory of one gateway at the end, mean",
-        memory,
-        "MB",
-    ));
+    let connections = figures.counts.engine_connects as f64;
+    all.extend([
+        figure(Role::Gateway, "all phases", "anonymous memory of one gateway at the end, mean", memory, "MB"),
+        figure(
+            Role::Database,
+            "all phases",
+            "connections from all gateways without client traffic",
+            connections,
+            "connections",
+        ),
+    ]);
     all
 }
 
