Keep the order of keys: hand them to the module, and wait for attempts that may run on

Fields `o` and `r` were passed over in `fields::split`, and the core handed `key: None`, `retry: false` to the module for every request.

The end of an attempt that nothing is heard of (`Input::Lost`) was told to the module as if it were known.

Change: an attempt notes when its engine was last asked for it; a lost one says until when it may run (`Event::Ended::may_run_for`), and its key rests from then.

MySQL clients name the key as attribute `o`, a retry as `r`.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -332,6 +332,7 @@
                     outcome: outcome(r.how),
                     elapsed: r.rtt_s,
                     settled: r.settled,
+                    may_run_for: 0.0,
                     cost: cost(r.used_up),
                     report: seat.report(r.feedback),
                 };
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -33,6 +33,10 @@
     pub need_mb: Option<f64>,
     /// The group of tables it reads.
     pub group: Option<GroupId>,
+    /// Its order key; without effect in a class that keeps no order.
+    pub key: Option<KeyId>,
+    /// Its client repeats an earlier request.
+    pub retry: bool,
 }
 
 /// What has happened outside.
@@ -44,8 +48,8 @@
     Asked(RequestId, Ask),
     /// An attempt has ended.
     Ended(RequestId, u32, Outcome, Option<Report>),
-    /// Nothing more will be heard of an attempt; it may run on.
-    Lost(RequestId, u32),
+    /// Nothing more will be heard of an attempt; its engine may run it until then, in microseconds.
+    Lost(RequestId, u32, u64),
     /// News of an attempt that is out.
     Noted(RequestId, u32, Note),
     /// The client has left; no answer is owed.
@@ -121,6 +125,16 @@
     timer: Option<TimerId>,
 }
 
+/// How an attempt has ended.
+struct End {
+    outcome: Outcome,
+    /// The request is finished.
+    settled: bool,
+    /// Its engine may run it until then.
+    runs_until_us: u64,
+    report: Option<Report>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Timer {
     Module(u64),
@@ -245,18 +259,20 @@
                     id,
                     class: ask.class,
                     tenant: ask.tenant,
-                    key: None,
+                    key: ask.key,
                     deadline: seconds(deadline_us),
                     estimate: ask.estimate,
                     need_mb: ask.need_mb,
                     group: ask.group,
-                    retry: false,
+                    retry: ask.retry,
                 }));
             }
             Input::Ended(id, attempt, outcome, report) => {
                 self.ended(now_us, id, attempt, outcome, report, commands);
             }
-            Input::Lost(id, attempt) => self.lost(now_us, id, attempt, commands),
+            Input::Lost(id, attempt, runs_until_us) => {
+                self.lost(now_us, (id, attempt), runs_until_us, commands);
+            }
             Input::Noted(request, attempt, note) => {
                 if self.out.contains_key(&(request, attempt)) {
                     self.events.push_back(Event::Noted { request, attempt, note });
@@ -298,7 +314,7 @@
                 open.may_have_run(out.sent_us);
             }
         }
-        self.tell_end(now_us, (id, attempt), out, outcome, settled, report);
+        self.tell_end(now_us, (id, attempt), out, End { outcome, settled, runs_until_us: now_us, report });
     }
 
     /// A request is no longer owed an answer, nor its deadline a timer.
@@ -319,39 +335,39 @@
         Some(out)
     }
 
-    fn tell_end(
-        &mut self,
-        now_us: u64,
-        (request, attempt): (RequestId, u32),
-        out: Out,
-        outcome: Outcome,
-        settled: bool,
-        report: Option<Report>,
-    ) {
+    fn tell_end(&mut self, now_us: u64, (request, attempt): (RequestId, u32), out: Out, end: End) {
         let elapsed = seconds(now_us.saturating_sub(out.sent_us));
         let engine = out.engine;
         self.events.push_back(Event::Ended {
             request,
             attempt,
             engine,
-            outcome,
+            outcome: end.outcome,
             elapsed,
-            settled,
+            settled: end.settled,
+            may_run_for: seconds(end.runs_until_us.saturating_sub(now_us)),
             cost: None,
-            report,
+            report: end.report,
         });
     }
 
     /// The attempt may run on for as long as its engine is silent, and a retry would be a second one beside
     /// it: on the bench a retry 3.5 s after the last word of such an engine still was. So the request ends
     /// here and now; whoever may ask again does so with a new one.
-    fn lost(&mut self, now_us: u64, id: RequestId, attempt: u32, commands: &mut Vec<Command>) {
+    fn lost(
+        &mut self,
+        now_us: u64,
+        (id, attempt): (RequestId, u32),
+        runs_until_us: u64,
+        commands: &mut Vec<Command>,
+    ) {
         let Some(out) = self.take_back(id, attempt) else { return };
         if let Some(open) = self.open.get_mut(&id) {
             open.may_have_run(out.sent_us);
         }
         self.answer_unserved(id, self.come_back, true, commands);
-        self.tell_end(now_us, (id, attempt), out, Outcome::TimedOut, true, None);
+        let end = End { outcome: Outcome::TimedOut, settled: true, runs_until_us, report: None };
+        self.tell_end(now_us, (id, attempt), out, end);
     }
 
     fn ring(&mut self, now_us: u64, timer: Timer, commands: &mut Vec<Command>) {
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -21,7 +21,19 @@
 
 impl Bench {
     fn new() -> Self {
-        let text = include_str!("../../tests/common/config.json").replace("LIST", "");
+        Self::with(|text| text)
+    }
+
+    /// One whose class of loads keeps order.
+    fn ordered() -> Self {
+        Self::with(|text| {
+            let text = text.replace("\"name\":\"load\",", "\"name\":\"load\",\"keep-order\":true,");
+            text.replace("\"warm-up-s\"", "\"order-pause-s\":0.3,\"warm-up-s\"")
+        })
+    }
+
+    fn with(change: impl Fn(String) -> String) -> Self {
+        let text = change(include_str!("../../tests/common/config.json").replace("LIST", ""));
         let json = text.parse().unwrap();
         let settings = config::read(&Node::root(&json, "config")).unwrap().settings;
         let mut bench = Self { core: Core::new(settings, 7).unwrap(), now_us: SECOND };
@@ -40,6 +52,10 @@
     }
 
     fn ask(&mut self, id: u64, class: ClassId, wait_us: u64) -> Vec<Command> {
+        self.ask_in_order(id, class, wait_us, None)
+    }
+
+    fn ask_in_order(&mut self, id: u64, class: ClassId, wait_us: u64, key: Option<KeyId>) -> Vec<Command> {
         let deadline_us = self.now_us + wait_us;
         let ask = Ask {
             class,
@@ -48,6 +64,8 @@
             estimate: Some(0.02),
             need_mb: None,
             group: Some(GroupId(1)),
+            key,
+            retry: false,
         };
         self.turn(vec![Input::Asked(RequestId(id), ask)])
     }
@@ -131,11 +149,38 @@
     {
         let mut b = Bench::new();
         let (id, ..) = started(&b.ask(1, class, 20 * SECOND)).unwrap();
-        assert_eq!(b.turn(vec![Input::Lost(id, 0)]), [answer]);
+        assert_eq!(b.turn(vec![Input::Lost(id, 0, b.now_us)]), [answer]);
         assert_eq!(b.pass(30 * SECOND), [], "that was all");
     }
 }
 
+#[test]
+fn requests_of_one_key_run_one_at_a_time() {
+    let mut b = Bench::ordered();
+    let key = Some(KeyId(5));
+    let (first, ..) = started(&b.ask_in_order(1, LOAD, 20 * SECOND, key)).unwrap();
+    assert_eq!(started(&b.ask_in_order(2, LOAD, 20 * SECOND, key)), None, "the key is taken");
+    assert!(started(&b.ask_in_order(3, LOAD, 20 * SECOND, Some(KeyId(6)))).is_some(), "another key is free");
+    assert!(started(&b.ask(4, LOAD, 20 * SECOND)).is_some(), "as is who has none");
+    let commands = b.turn(vec![Input::Ended(first, 0, Outcome::Success, None)]);
+    assert_eq!(started(&commands).map(|s| s.0), Some(RequestId(2)));
+    let mut b = Bench::ordered();
+    assert!(started(&b.ask_in_order(1, LOOKUP, SECOND, key)).is_some());
+    assert!(started(&b.ask_in_order(2, LOOKUP, SECOND, key)).is_some(), "a class without order heeds no key");
+}
+
+#[test]
+fn the_next_of_a_key_waits_till_a_lost_attempt_is_surely_over() {
+    let mut b = Bench::ordered();
+    let key = Some(KeyId(5));
+    let (first, ..) = started(&b.ask_in_order(1, LOAD, 20 * SECOND, key)).unwrap();
+    b.ask_in_order(2, LOAD, 20 * SECOND, key);
+    let runs_until_us = b.now_us + 2 * SECOND;
+    assert_eq!(b.turn(vec![Input::Lost(first, 0, runs_until_us)]), [Command::Fail(first)]);
+    assert_eq!(started(&b.pass(2 * SECOND + 290_000)), None, "it may run, and then the key rests");
+    assert_eq!(started(&b.pass(100_000)).map(|s| s.0), Some(RequestId(2)));
+}
+
 #[test]
 fn nothing_is_sent_to_an_engine_that_drains_or_has_gone() {
     let mut b = Bench::new();
@@ -184,7 +229,7 @@
                         out.remove(&id);
                         tainted.push(id);
                         lost.push(id);
-                        b.turn(vec![Input::Lost(id, attempt)])
+                        b.turn(vec![Input::Lost(id, attempt, b.now_us)])
                     }
                     Some((id, attempt)) => {
                         let outcomes = [Outcome::Success, Outcome::Failure, Outcome::Overloaded,
--- a/gateway/src/engine/http.rs
+++ b/gateway/src/engine/http.rs
@@ -13,6 +13,13 @@
 /// A result holds at most 48,000 bytes, on pages of at least one row each.
 const MAX_RESULT: usize = 48_000;
 const MAX_PAGES: u32 = 1_000;
+/// How long a call for news may stand at the engine before its answer, in microseconds.
+const NEWS_US: u64 = 250_000;
+/// An engine drops a query that it has not been asked for in 2 s, and every time limit of the protocol is 50 ms longer.
+const UNASKED_US: u64 = 2_050_000;
+/// An engine that says nothing more may run a query for so long behind the last call for it, in microseconds: while
+/// that call stands there the query is being asked for.
+pub const ABANDONED_US: u64 = NEWS_US + UNASKED_US;
 
 /// An answer.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/gateway/src/front/fields.rs
+++ b/gateway/src/front/fields.rs
@@ -2,6 +2,8 @@
 
 use std::borrow::Cow;
 
+use notchridge::interface::KeyId;
+
 /// Fields as the client worded them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fields {
@@ -19,6 +21,10 @@
     pub need_mb: Option<f64>,
     /// The client's token, by which engines know a repeat of the same work.
     pub token: Option<String>,
+    /// The key by which requests of a class that keeps order take turns.
+    pub order_key: Option<String>,
+    /// The client repeats an earlier request of its own.
+    pub retry: bool,
 }
 
 /// Why fields can't be used.
@@ -45,6 +51,12 @@
     /// A token that no header can carry.
     #[error("the token (k) must be 1 to 128 printable characters without blanks")]
     BadToken,
+    /// An order key that can't be one.
+    #[error("the order key (o) must be 1 to 128 printable characters without blanks")]
+    BadOrderKey,
+    /// A retry mark of another value.
+    #[error("the mark of a retry (r) must be 1, or be left out")]
+    BadRetry,
     /// No statement follows.
     #[error("no statement follows the comment")]
     NoStatement,
@@ -55,7 +67,7 @@
 /// Milliseconds on one core, or MB: more than a machine does in a month, or has.
 const MOST_ESTIMATED: f64 = 1e9;
 
-/// Bytes of a token at most.
+/// Bytes of a token or an order key at most.
 const LONGEST_TOKEN: usize = 128;
 
 /// Splits a text into its fields and the statement behind them.
@@ -84,6 +96,8 @@
             "h" => fields.estimate_ms = Some(estimate(value)?),
             "mem" => fields.need_mb = Some(estimate(value)?),
             "k" => fields.token = Some(token(value)?),
+            "o" => fields.order_key = Some(order_key(value)?),
+            "r" => fields.retry = retry(value)?,
             _ => {} // Fields of later versions.
         }
     }
@@ -110,8 +124,29 @@
 
 /// A client's token. It goes into a header as it is, so nothing may end that.
 pub fn token(value: &str) -> Result<String, FieldError> {
-    let good = (1..=LONGEST_TOKEN).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_graphic());
-    good.then(|| value.to_owned()).ok_or(FieldError::BadToken)
+    is_printable(value).then(|| value.to_owned()).ok_or(FieldError::BadToken)
+}
+
+/// An order key. Its form is the client's own; only its length is bounded.
+pub fn order_key(value: &str) -> Result<String, FieldError> {
+    is_printable(value).then(|| value.to_owned()).ok_or(FieldError::BadOrderKey)
+}
+
+/// The mark of a client's retry, which is 1 or absent.
+pub fn retry(value: &str) -> Result<bool, FieldError> {
+    if value == "1" { Ok(true) } else { Err(FieldError::BadRetry) }
+}
+
+/// The number of an order key: FNV-1a over its bytes, so that two processes of one gateway agree on it. Keys
+/// that happen to share a number take turns with each other, which is safe.
+pub fn key_id(order_key: &str) -> KeyId {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    KeyId(order_key.bytes().fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME)))
+}
+
+fn is_printable(value: &str) -> bool {
+    (1..=LONGEST_TOKEN).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_graphic())
 }
 
 fn estimate(value: &str) -> Result<f64, FieldError> {
--- a/gateway/src/front/fields/tests.rs
+++ b/gateway/src/front/fields/tests.rs
@@ -18,6 +18,12 @@
     assert_eq!(error("/* c=a,k= */ x"), FieldError::BadToken);
     assert_eq!(error("/* c=a,k=x\r\ny: z */ x"), FieldError::BadToken);
     assert_eq!(split(b"/* c=a,k=x9 */ x").unwrap().0.token.as_deref(), Some("x9"));
+    assert_eq!(error("/* c=a,o= */ x"), FieldError::BadOrderKey);
+    assert_eq!(error("/* c=a,o=a b */ x"), FieldError::BadOrderKey);
+    assert_eq!(error(&format!("/* c=a,o={} */ x", "7".repeat(129))), FieldError::BadOrderKey);
+    assert_eq!(error("/* c=a,o=1,o=1 */ x"), FieldError::Malformed);
+    assert_eq!(error("/* c=a,r=2 */ x"), FieldError::BadRetry);
+    assert_eq!(error("/* c=a,r= */ x"), FieldError::BadRetry);
     assert_eq!(error("/* c=a,d=0 */ x"), FieldError::BadWait);
     assert_eq!(error("/* c=a,d=-4 */ x"), FieldError::BadWait);
     assert_eq!(error("/* c=a,h=x */ x"), FieldError::BadEstimate);
@@ -30,6 +36,18 @@
     assert_eq!(error("/* c=a */  "), FieldError::NoStatement);
 }
 
+#[test]
+fn order_key_and_retry_mark_are_read_in_any_place() {
+    let fields = |text: &str| split(text.as_bytes()).unwrap().0;
+    let marked = fields("/* r=1,o=7f3a9c21e0b4d655,c=load */ x");
+    assert_eq!((marked.order_key.as_deref(), marked.retry), (Some("7f3a9c21e0b4d655"), true));
+    let plain = fields("/* c=load */ x");
+    assert_eq!((plain.order_key, plain.retry), (None, false));
+    // Two processes of one gateway must agree on the number of a key, whatever its form.
+    assert_eq!(key_id("a"), KeyId(0xaf63_dc4c_8601_ec8c));
+    assert_ne!(key_id("7f3a9c21e0b4d655"), key_id("7f3a9c21e0b4d656"));
+}
+
 #[test]
 fn group_comes_from_the_schema_of_a_table_only() {
     let group = |s: &str| table_group(s.as_bytes());
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -403,6 +403,8 @@
                 b"i" => fields::id(&text).map(|id| demand.fields.id = Some(id)),
                 b"d" => fields::wait(&text).map(|ms| demand.fields.wait_ms = Some(ms)),
                 b"k" => fields::token(&text).map(|token| demand.fields.token = Some(token)),
+                b"o" => fields::order_key(&text).map(|key| demand.fields.order_key = Some(key)),
+                b"r" => fields::retry(&text).map(|retry| demand.fields.retry = retry),
                 _ => Ok(()),
             };
             if let Err(e) = taken {
@@ -420,7 +422,9 @@
         }
         let Some(mut demand) = self.demand(text, Run::Query, out) else { return Some(Want::Invalid) };
         // Each execution has its own.
-        (demand.fields.id, demand.fields.wait_ms, demand.fields.token) = (None, None, None);
+        let fields = &mut demand.fields;
+        (fields.id, fields.wait_ms, fields.token) = (None, None, None);
+        (fields.order_key, fields.retry) = (None, false);
         let params = mysql::placeholders(&demand.statement);
         if u16::try_from(params).is_err() {
             return Some(self.invalid(
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -434,6 +434,8 @@
             estimate: fields.estimate_ms.map(|ms| ms / 1000.0),
             need_mb: fields.need_mb.filter(|mb| *mb > 0.0),
             group: fields::table_group(&request.statement).map(GroupId),
+            key: fields.order_key.as_deref().map(fields::key_id),
+            retry: fields.retry,
         };
         self.counters.taken += 1;
         let (estimate_ms, need_mb) = (fields.estimate_ms, fields.need_mb);
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -145,6 +145,8 @@
     ticket: String,
     /// Its first byte must leave before this.
     begin_by_us: u64,
+    /// It is not waited for beyond this, and its engine was told so.
+    until_us: u64,
     /// Its MySQL connection's number at the engine, noted when it is given up: by the time the engine is told,
     /// that connection's place may be another's.
     thread: u32,
@@ -156,6 +158,19 @@
     unheard: Option<TimerId>,
     /// How often in a row the present call had no good answer and was made again over another connection.
     retries: u32,
+    /// When the engine was last asked for it: its start, or a call for news or a page.
+    asked_us: u64,
+}
+
+impl Attempt {
+    /// Until when an engine that says nothing more may run it, in microseconds. Over MySQL nothing but the
+    /// wait that the statement was sent with bounds it.
+    fn runs_until_us(&self, now_us: u64) -> u64 {
+        match self.course {
+            Course::Http { .. } => now_us.max(self.asked_us + http::ABANDONED_US),
+            Course::MySql { .. } => now_us.max(self.until_us),
+        }
+    }
 }
 
 impl Server {
@@ -285,11 +300,13 @@
                     course,
                     ticket,
                     begin_by_us,
+                    until_us,
                     thread: 0,
                     stopping: false,
                     booked: 0,
                     unheard: None,
                     retries: 0,
+                    asked_us: self.time.now_us,
                 };
                 self.requests.take_ticket(&attempt.ticket);
                 self.pools.attempts.insert(id, attempt);
@@ -572,6 +589,7 @@
                     // It was sent long ago; news of it may be asked for wherever the engine stands.
                     if let Course::Http { exchange, .. } = &mut attempt.course {
                         exchange.ask_again(out);
+                        attempt.asked_us = now_us;
                     }
                     return;
                 }
@@ -582,6 +600,7 @@
                 let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
                 let Some(peer) = self.pools.peers.get_mut(at).and_then(Option::as_mut) else { return };
                 let (link, out) = (&mut peer.link, &mut peer.conn.output);
+                attempt.asked_us = now_us;
                 self.counters.sent += 1;
                 let class = self.requests.open.get(&id.0).map(|r| r.class);
                 if let Some(class) = class {
@@ -728,6 +747,7 @@
                             return self.engine_gone(at, End::Broken);
                         }
                         link.asked_us = now_us;
+                        attempt.asked_us = now_us;
                         peer.conn.output.append(&mut next);
                         self.pools.dirty.push(at);
                     }
@@ -934,7 +954,8 @@
         self.desert(attempt.link, id);
         tracing::debug!(ticket = attempt.ticket, number = id.1, engine = attempt.engine.0, "unheard");
         self.counters.ended(Outcome::TimedOut);
-        self.inputs.push(Input::Lost(id.0, id.1));
+        let runs_until_us = attempt.runs_until_us(self.time.now_us);
+        self.inputs.push(Input::Lost(id.0, id.1, runs_until_us));
     }
 
     /// A connection no longer works for this attempt.
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! loopback, with ports that the system chooses.
 #![allow(dead_code, missing_docs)]
 
+pub mod manual;
 pub mod mysql;
 pub mod pg;
 pub mod script;
@@ -488,6 +489,14 @@
         Arc::new(Folder(folder))
     }
 
+    /// In front of these engines with the MySQL front, with the configuration as `change` makes it.
+    pub fn start_changed(engines: &[&Engine], change: impl Fn(String) -> String) -> Self {
+        let folder = Self::folder(engines, true, None, "");
+        let file = folder.join("config.json");
+        std::fs::write(&file, change(std::fs::read_to_string(&file).unwrap())).unwrap();
+        Self::launch(folder, ([127, 0, 0, 1], 0).into(), None, false)
+    }
+
     /// In front of these engines, with a door for operators.
     pub fn start_with_door(engines: &[&Engine]) -> Self {
         Self::launch(Self::folder(engines, false, None, ""), ([127, 0, 0, 1], 0).into(), None, true)
--- /dev/null
+++ b/gateway/tests/order.rs
@@ -0,0 +1,191 @@
+//! Requests of one key in a class that keeps order: one at a time, in the order in which they were taken, and none
+//! beside an attempt that its engine may still run. Engines are scripted; times are lower bounds only.
+
+mod common;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::manual::Engines;
+use common::script::Peer;
+use common::{Engine, Gateway, Seen, mysql, pg};
+
+/// An engine drops a query that it has not been asked for in this time.
+const ABANDONED: Duration = Duration::from_millis(2_000);
+/// The rest of a key behind an attempt that might still run.
+const REST: Duration = Duration::from_millis(300);
+
+fn id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+fn load(n: u64, key: &str) -> String {
+    format!("/* c=load,i={},d=20000,o={key} */ INSERT INTO sales_17.orders VALUES (1)", id(n))
+}
+
+fn keeps_order(config: String) -> String {
+    let config = config.replace("\"name\":\"load\",", "\"name\":\"load\",\"keep-order\":true,");
+    config.replace("\"warm-up-s\"", "\"order-pause-s\":0.3,\"warm-up-s\"")
+}
+
+/// Sends a request and waits until it is taken.
+fn ask(gateway: &Gateway, n: u64, key: &str) -> pg::Client {
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&load(n, key));
+    gateway.logged(&format!("taken ticket=\"{}\"", id(n)));
+    client
+}
+
+fn is_served(client: &mut pg::Client, n: u64) {
+    assert_eq!(client.answer(), pg::Answer::Rows(vec![vec![id(n)]]));
+}
+
+#[test]
+fn requests_of_one_key_go_out_one_at_a_time_in_the_order_taken() {
+    let engines = Engines::start(&["e1", "e2"]);
+    let gateway = Gateway::scripted(&engines.entries, None, "", None, keeps_order);
+    let mut clients: Vec<_> = (1..=3).map(|n| ask(&gateway, n, "k1")).collect();
+    let mut out = engines.next_start(&id(1));
+    let mut other = ask(&gateway, 4, "k2");
+    engines.next_start(&id(4)).row();
+    is_served(&mut other, 4);
+    for n in 1..=3 {
+        out.row();
+        is_served(&mut clients[n as usize - 1], n);
+        if n == 3 {
+            break;
+        }
+        out = engines.next_start(&id(n + 1));
+    }
+}
+
+/// Two requests of a key over one session, the second behind the first, and one of another session between them.
+#[test]
+fn a_request_behind_another_of_its_session_takes_its_turn_when_it_is_read() {
+    let engines = Engines::start(&["e1", "e2"]);
+    let gateway = Gateway::scripted(&engines.entries, None, "", None, keeps_order);
+    let mut first = pg::Client::connect(gateway.pg);
+    first.send(&load(1, "k1"));
+    first.send(&load(3, "k1"));
+    let out = engines.next_start(&id(1));
+    let mut second = ask(&gateway, 2, "k1");
+    out.row();
+    is_served(&mut first, 1);
+    engines.next_start(&id(2)).row();
+    is_served(&mut second, 2);
+    engines.next_start(&id(3)).row();
+    is_served(&mut first, 3);
+}
+
+#[test]
+fn the_next_of_a_key_waits_for_an_attempt_that_may_run_on_unheard() {
+    let (e1, e2, coordinator) = (Peer::new("e1"), Peer::new("e2"), Peer::new("c"));
+    let gateway = Gateway::scripted(&e1.entry("Ready"), Some(coordinator.address), "", None, keeps_order);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let mut first = ask(&gateway, 1, "k1");
+    let mut second = ask(&gateway, 2, "k1");
+    let mut wire = e1.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    let began = Instant::now();
+    watch.event(2, &e2.entry("Ready"));
+    // The first engine lets nobody in any more: whether it runs on is not to be known.
+    drop(e1);
+    wire.reset();
+    assert!(matches!(first.answer(), pg::Answer::Error(code, _) if !code.starts_with("53")));
+    let mut wire = e2.accept();
+    assert_eq!(wire.call().ticket(), id(2));
+    assert!(began.elapsed() >= ABANDONED + REST, "after {:?}", began.elapsed());
+    wire.row(&id(2));
+    is_served(&mut second, 2);
+}
+
+#[test]
+fn a_key_whose_first_request_is_never_sent_goes_on_at_once() {
+    let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
+    let draining = engine.entry("Terminating");
+    let gateway = Gateway::scripted(&draining, Some(coordinator.address), "", None, keeps_order);
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let first = ask(&gateway, 1, "k1");
+    let mut second = ask(&gateway, 2, "k1");
+    drop(first);
+    gateway.logged(&format!("left ticket=\"{}\"", id(1)));
+    watch.event(2, &engine.entry("Ready"));
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().ticket(), id(2));
+    wire.row(&id(2));
+    is_served(&mut second, 2);
+}
+
+#[test]
+fn an_attempt_whose_client_has_left_holds_its_key_till_it_is_given_up() {
+    let engines = Engines::start(&["e1", "e2"]);
+    let gateway = Gateway::scripted(&engines.entries, None, "", None, keeps_order);
+    let first = ask(&gateway, 1, "k1");
+    let mut second = ask(&gateway, 2, "k1");
+    let _out = engines.next_start(&id(1));
+    drop(first);
+    let delete = engines.next();
+    assert_eq!((delete.verb.as_str(), delete.ticket.as_str()), ("DELETE", id(1).as_str()));
+    // What another key does meanwhile shows that the gateway has had its turns.
+    let mut other = ask(&gateway, 4, "k2");
+    engines.next_start(&id(4)).row();
+    is_served(&mut other, 4);
+    let given_up = Instant::now();
+    delete.given_up();
+    let out = engines.next_start(&id(2));
+    assert!(given_up.elapsed() >= REST, "after {:?}", given_up.elapsed());
+    out.row();
+    is_served(&mut second, 2);
+}
+
+#[test]
+fn a_key_without_effect_or_none_at_all_holds_nobody() {
+    let engines = Engines::start(&["e1", "e2"]);
+    let gateway = Gateway::scripted(&engines.entries, None, "", None, keeps_order);
+    let send = |text: &str| {
+        let mut client = pg::Client::connect(gateway.pg);
+        client.send(text);
+        client
+    };
+    let statement = "SELECT v FROM sales_17.orders";
+    let text =
+        |class: &str, n: u64, key: &str| format!("/* c={class},i={},d=3000{key},r=1 */ {statement}", id(n));
+    let mut clients =
+        [text("lookup", 1, ",o=k1"), text("lookup", 2, ",o=k1"), text("load", 3, ""), text("load", 4, "")]
+            .map(|text| send(&text));
+    let out: Vec<_> = (0..4).map(|_| engines.next()).collect();
+    out.into_iter().for_each(|call| call.row());
+    for (client, n) in clients.iter_mut().zip(1..) {
+        is_served(client, n);
+    }
+    for wrong in ["o=", "o=a b", "r=2"] {
+        let answer = clients[0].query(&format!("/* c=load,i={},d=3000,{wrong} */ {statement}", id(9)));
+        assert!(matches!(answer, pg::Answer::Error(code, _) if code == "42601"));
+    }
+}
+
+#[test]
+fn mysql_clients_have_the_same_keys() {
+    const WORK_MS: u64 = 200;
+    let seen = Seen::default();
+    let engine = Engine::start("e1", &seen, WORK_MS);
+    let gateway = Gateway::start_changed(&[&engine], keeps_order);
+    let began = Instant::now();
+    let ask = |n: u64| {
+        let address = gateway.mysql();
+        thread::spawn(move || {
+            let mut client = mysql::Client::connect(address);
+            let text = "/* c=load */ INSERT INTO sales_17.orders VALUES (1)";
+            client.query(text, &[("i", &id(n)), ("o", "k1"), ("r", "1")])
+        })
+    };
+    for answer in [ask(1), ask(2)].map(|client| client.join().unwrap()) {
+        assert!(!matches!(answer, mysql::Answer::Error(..)), "{answer:?}");
+    }
+    assert!(began.elapsed() >= Duration::from_millis(2 * WORK_MS), "one after the other");
+    let mut client = mysql::Client::connect(gateway.mysql());
+    let wrong = client.query("/* c=load */ SELECT 1", &[("o", "")]);
+    assert!(matches!(wrong, mysql::Answer::Error(1210, ..)), "{wrong:?}");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -382,6 +382,8 @@
         elapsed: f64,
         /// The request is finished: by this outcome or before it.
         settled: bool,
+        /// Seconds for which it may still run at an engine that says nothing of it; 0 where its end is known.
+        may_run_for: f64,
         /// What it needed, where told.
         cost: Option<Cost>,
         /// The engine's report, if one came along.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -597,17 +597,17 @@
     }
 
     fn ended(&mut self, now: f64, event: &Event, actions: &mut Vec<Action>) {
-        let &Event::Ended { request: id, attempt, engine, outcome, elapsed, settled, cost, report } = event
-        else {
+        let &Event::Ended { request: id, attempt, engine, outcome, elapsed, settled, .. } = event else {
             return;
         };
+        let &Event::Ended { may_run_for, cost, report, .. } = event else { return };
         self.reported(now, engine, report.as_ref());
         let Some(attempt) = self.attempts.remove(&(id, attempt)) else { return };
         let may_run = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn);
         if let Some(line) = attempt.key.and_then(|k| self.keys.get_mut(&k)) {
             line.out -= 1;
             if may_run {
-                line.rest = Some((now + self.s.rules.order_pause, id));
+                line.rest = Some((now + may_run_for + self.s.rules.order_pause, id));
             }
         }
         self.learn(now, &attempt, outcome, elapsed, cost);
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -141,6 +141,7 @@
                     outcome: Outcome::Success,
                     elapsed,
                     settled: true,
+                    may_run_for: 0.0,
                     cost: None,
                     report: None,
                 };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -140,6 +140,7 @@
             outcome,
             elapsed,
             settled: outcome == Outcome::Success,
+            may_run_for: 0.0,
             cost: None,
             report: None,
         })
@@ -161,6 +162,7 @@
             outcome: Outcome::Success,
             elapsed,
             settled: true,
+            may_run_for: 0.0,
             cost,
             report,
         })
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -223,6 +223,7 @@
                 outcome,
                 elapsed: now - send.1,
                 settled: asked.answered,
+                may_run_for: 0.0,
                 cost: None,
                 report: None,
             };
@@ -382,9 +383,17 @@
             for (id, to) in sends(&actions).into_iter().filter(|(id, _)| id % 10 != 0) {
                 let (request, engine) = (RequestId(id), EngineId(to));
                 let (outcome, elapsed, settled) = (Outcome::Success, 0.1, true);
-                let (cost, report) = (None, None);
-                let ended =
-                    Event::Ended { request, attempt: 0, engine, outcome, elapsed, settled, cost, report };
+                let ended = Event::Ended {
+                    request,
+                    attempt: 0,
+                    engine,
+                    outcome,
+                    elapsed,
+                    settled,
+                    may_run_for: 0.0,
+                    cost: None,
+                    report: None,
+                };
                 gateway.on_event(now, &ended, &mut Vec::new());
             }
         }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -234,6 +234,7 @@
             outcome: how,
             elapsed: now - sent,
             settled,
+            may_run_for: 0.0,
             cost: None,
             report: None,
         });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -136,6 +136,33 @@
     assert_eq!(sends(&drive.look()).len(), 1);
 }
 
+#[test]
+fn a_key_rests_till_a_lost_attempt_is_surely_over() {
+    let mut drive = Drive::new(settings(), vec![engine(1), engine(2)]);
+    let mut sent = Vec::new();
+    for id in 1..=2 {
+        let mut request = drive.request(id, LOAD);
+        request.key = Some(KeyId(5));
+        sent.extend(sends(&drive.event(&Event::Arrived(request))));
+    }
+    let lost = Event::Ended {
+        request: RequestId(1),
+        attempt: 0,
+        engine: EngineId(sent[0].1),
+        outcome: Outcome::TimedOut,
+        elapsed: 0.5,
+        settled: true,
+        may_run_for: 0.4,
+        cost: None,
+        report: None,
+    };
+    assert!(sends(&drive.event(&lost)).is_empty());
+    drive.now += 0.69;
+    assert!(sends(&drive.look()).is_empty(), "its engine may run it on, and then the key rests");
+    drive.now += 0.02;
+    assert_eq!(sends(&drive.look()).iter().map(|s| s.0).collect::<Vec<_>>(), vec![2]);
+}
+
 #[test]
 fn a_key_is_not_free_while_an_attempt_of_a_finished_request_is_out() {
     let mut drive = Drive::new(settings(), vec![engine(1), engine(2)]);
@@ -262,6 +289,7 @@
                     outcome: Outcome::Success,
                     elapsed: 0.2,
                     settled: true,
+                    may_run_for: 0.0,
                     cost: None,
                     report: None,
                 };
