Share keys between the two processes of an upgrade by leases

Need: the order of a key holds for the gateway, and during an upgrade two processes of it take requests of the same keys. Each kept its own lines and knew nothing of the other's: a request that came to the new process went out beside one of its key that the old process had out or waiting.

Change: `key_leases.rs` (no I/O, no clock) holds which process may run a key, by Raymond's token passing between neighbouring processes; an unused lease goes back to the oldest process, so that the table holds no more keys than are in use. Processes tell each other Claim, Grant and Settled over the handover's connection; either side knows from the handover whether the other speaks them. Of a process that died without a word what it may have left running is waited for, not the process. A request whose lease has not come by its end is refused, as it was never sent.

Renamed in what was touched: the handover's words are messages.

Over sockets: order over both processes, the old one killed, the old one ended with SIGTERM and SIGHUP while the new one waits.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -9,6 +9,7 @@
 use notchridge::interface::*;
 use wrenhatch_sessions::wheel::{TimerId, Wheel};
 
+use crate::key_leases::{KeyLeases, LeaseEffect, Neighbour};
 use crate::lateness::Lateness;
 
 /// How long before a client's own limit the core answers at the latest, in microseconds: what the answer
@@ -56,6 +57,21 @@
     Left(RequestId),
     /// The gateway ends: every request gets its answer now.
     Closing,
+    /// Another process of this gateway was heard of or has ended.
+    Neighbour(Neighbour, NeighbourNews),
+}
+
+/// What is heard of another process of this gateway, while one takes the place of the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NeighbourNews {
+    /// This process takes its place; it has the leases of all keys.
+    Followed,
+    /// It asks for the lease of a key.
+    Claims(KeyId),
+    /// It hands the lease of a key over.
+    Grants(KeyId),
+    /// It has ended. What it may have left running is over by then, in microseconds.
+    Ended(u64),
 }
 
 /// What fronts and engine links are to do.
@@ -95,11 +111,19 @@
     Refuse(RequestId, Option<u64>),
     /// Final answer: failed.
     Fail(RequestId),
+    /// Ask another process of this gateway for the lease of a key.
+    Claim(Neighbour, KeyId),
+    /// Hand the lease of a key to another process of this gateway.
+    Grant(Neighbour, KeyId),
 }
 
 #[derive(Debug)]
 struct Open {
     class: ClassId,
+    /// Its key, if its class keeps order.
+    key: Option<KeyId>,
+    /// It as it is to be told to the module, while another process has the lease of its key.
+    unadmitted: Option<Request>,
     deadline_us: u64,
     /// Its own timer, and those that the module has set for it.
     plans: Vec<TimerId>,
@@ -120,6 +144,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Out {
     engine: EngineId,
+    key: Option<KeyId>,
     sent_us: u64,
     stopped: bool,
     timer: Option<TimerId>,
@@ -140,12 +165,18 @@
     Module(u64),
     Attempt(RequestId, u32),
     Deadline(RequestId),
+    Lease(KeyId),
 }
 
 /// The core of one gateway.
 pub struct Core {
     module: Gateway,
     effects: Vec<Effect>,
+    keeps_order: Vec<bool>,
+    /// How long a key rests behind an attempt that might still run.
+    order_pause_us: u64,
+    leases: KeyLeases,
+    lease_effects: Vec<LeaseEffect>,
     max_attempts: u32,
     resolution_us: u64,
     /// What a client hears whose engine fell silent, in seconds, where clients hear such things.
@@ -175,6 +206,10 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         Ok(Self {
             effects: settings.classes.iter().map(|c| c.effect).collect(),
+            keeps_order: settings.classes.iter().map(|c| c.keep_order).collect(),
+            order_pause_us: micros(settings.rules.order_pause),
+            leases: KeyLeases::default(),
+            lease_effects: Vec::new(),
             max_attempts: settings.allowed.max_attempts,
             resolution_us: micros(settings.resolution),
             come_back: settings
@@ -245,27 +280,37 @@
                 let deadline_us = ask.deadline_us.saturating_sub(MARGIN_US);
                 // The module plans the end itself; this guards against one that does not.
                 let deadline = self.timers.arm(deadline_us, Timer::Deadline(id));
-                let open = Open {
-                    class: ask.class,
-                    deadline_us,
-                    plans: vec![deadline],
-                    attempts: 0,
-                    may_have_run_us: None,
-                    memory_mb: 0.0,
-                    priority: 1,
-                };
-                self.open.insert(id, open);
-                self.events.push_back(Event::Arrived(Request {
+                let key = ask.key.filter(|_| self.keeps_order[ask.class.0]);
+                let request = Request {
                     id,
                     class: ask.class,
                     tenant: ask.tenant,
-                    key: ask.key,
+                    key,
                     deadline: seconds(deadline_us),
                     estimate: ask.estimate,
                     need_mb: ask.need_mb,
                     group: ask.group,
                     retry: ask.retry,
-                }));
+                };
+                let mut open = Open {
+                    class: ask.class,
+                    key,
+                    unadmitted: None,
+                    deadline_us,
+                    plans: vec![deadline],
+                    attempts: 0,
+                    may_have_run_us: None,
+                    memory_mb: 0.0,
+                    priority: 1,
+                };
+                if let Some(key) = key {
+                    open.unadmitted = Some(request);
+                    self.open.insert(id, open);
+                    self.leases.request(now_us, key, id, &mut self.lease_effects);
+                } else {
+                    self.open.insert(id, open);
+                    self.events.push_back(Event::Arrived(request));
+                }
             }
             Input::Ended(id, attempt, outcome, report) => {
                 self.ended(now_us, id, attempt, outcome, report, commands);
@@ -279,7 +324,7 @@
                 }
             }
             Input::Left(id) => {
-                if self.close(id).is_some() {
+                if self.close(now_us, id).is_some() {
                     self.events.push_back(Event::Aborted(id));
                 }
             }
@@ -287,12 +332,50 @@
                 let open: Vec<RequestId> = self.open.keys().copied().collect();
                 for id in open {
                     self.events.push_back(Event::Aborted(id));
-                    self.answer_unserved(id, self.come_back, true, commands);
+                    self.answer_unserved(now_us, id, self.come_back, true, commands);
+                }
+            }
+            Input::Neighbour(neighbour, news) => self.neighbour(now_us, neighbour, news),
+        }
+        self.carry_out_leases(commands);
+    }
+
+    fn neighbour(&mut self, now_us: u64, neighbour: Neighbour, news: NeighbourNews) {
+        let effects = &mut self.lease_effects;
+        match news {
+            NeighbourNews::Followed => self.leases.follow(neighbour),
+            NeighbourNews::Claims(key) => self.leases.claimed(now_us, key, neighbour, effects),
+            NeighbourNews::Grants(key) => self.leases.granted(now_us, key, neighbour, effects),
+            NeighbourNews::Ended(over_us) => self.leases.left(now_us, neighbour, over_us, effects),
+        }
+    }
+
+    fn carry_out_leases(&mut self, commands: &mut Vec<Command>) {
+        for effect in std::mem::take(&mut self.lease_effects) {
+            match effect {
+                LeaseEffect::Claim(key, neighbour) => commands.push(Command::Claim(neighbour, key)),
+                LeaseEffect::Grant(key, neighbour) => commands.push(Command::Grant(neighbour, key)),
+                LeaseEffect::WakeAt(key, at_us) => drop(self.timers.arm(at_us, Timer::Lease(key))),
+                LeaseEffect::Admit(id) => {
+                    let request = self.open.get_mut(&id).and_then(|open| open.unadmitted.take());
+                    self.events.extend(request.map(Event::Arrived));
                 }
             }
         }
     }
 
+    /// Until when keys must rest once this process has ended: what is out may run on for `abandoned_us`.
+    pub fn keys_rest_until_us(&self, now_us: u64, abandoned_us: u64) -> u64 {
+        let is_out = self.out.values().any(|out| out.key.is_some());
+        let out_until_us = if is_out { self.rests_after(now_us + abandoned_us) } else { now_us };
+        out_until_us.max(self.leases.rest_until_us())
+    }
+
+    /// Until when a key rests behind an attempt that might run until then.
+    pub fn rests_after(&self, runs_until_us: u64) -> u64 {
+        runs_until_us + self.order_pause_us
+    }
+
     fn ended(
         &mut self,
         now_us: u64,
@@ -308,7 +391,7 @@
         if let Some(open) = self.open.get_mut(&id) {
             settled = outcome == Outcome::Success;
             if settled {
-                self.close(id);
+                self.close(now_us, id);
                 commands.push(Command::Serve(id, attempt));
             } else if !proves {
                 open.may_have_run(out.sent_us);
@@ -318,8 +401,15 @@
     }
 
     /// A request is no longer owed an answer, nor its deadline a timer.
-    fn close(&mut self, id: RequestId) -> Option<Open> {
+    fn close(&mut self, now_us: u64, id: RequestId) -> Option<Open> {
         let open = self.open.remove(&id)?;
+        match open.key {
+            Some(key) if open.unadmitted.is_some() => {
+                self.leases.withdraw(now_us, key, id, &mut self.lease_effects);
+            }
+            Some(key) => self.leases.ended(now_us, key, 0, &mut self.lease_effects),
+            None => {}
+        }
         for timer in &open.plans {
             self.timers.cancel(*timer);
         }
@@ -338,6 +428,11 @@
     fn tell_end(&mut self, now_us: u64, (request, attempt): (RequestId, u32), out: Out, end: End) {
         let elapsed = seconds(now_us.saturating_sub(out.sent_us));
         let engine = out.engine;
+        if let Some(key) = out.key {
+            let may_run = matches!(end.outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn);
+            let rests_until_us = if may_run { self.rests_after(end.runs_until_us) } else { 0 };
+            self.leases.ended(now_us, key, rests_until_us, &mut self.lease_effects);
+        }
         self.events.push_back(Event::Ended {
             request,
             attempt,
@@ -365,7 +460,7 @@
         if let Some(open) = self.open.get_mut(&id) {
             open.may_have_run(out.sent_us);
         }
-        self.answer_unserved(id, self.come_back, true, commands);
+        self.answer_unserved(now_us, id, self.come_back, true, commands);
         let end = End { outcome: Outcome::TimedOut, settled: true, runs_until_us, report: None };
         self.tell_end(now_us, (id, attempt), out, end);
     }
@@ -377,11 +472,16 @@
             Timer::Deadline(id) => {
                 if let Some(open) = self.open.get(&id) {
                     debug_assert!(now_us >= open.deadline_us);
+                    // One that the module never heard of was never sent.
+                    let unadmitted = open.unadmitted.is_some();
+                    let retry_after = self.come_back.filter(|_| unadmitted);
                     self.events.push_back(Event::Aborted(id));
-                    self.answer_unserved(id, None, false, commands);
+                    self.answer_unserved(now_us, id, retry_after, unadmitted, commands);
                 }
             }
+            Timer::Lease(key) => self.leases.wake(now_us, key, &mut self.lease_effects),
         }
+        self.carry_out_leases(commands);
     }
 
     fn stop(&mut self, id: RequestId, attempt: u32, commands: &mut Vec<Command>) {
@@ -395,12 +495,13 @@
     /// it stands only where that is so: repeats do no harm, or no attempt may have run or be running.
     fn answer_unserved(
         &mut self,
+        now_us: u64,
         id: RequestId,
         retry_after: Option<f64>,
         refuse: bool,
         commands: &mut Vec<Command>,
     ) {
-        let Some(open) = self.close(id) else { return };
+        let Some(open) = self.close(now_us, id) else { return };
         let running = self.out.range((id, 0)..=(id, u32::MAX)).next().is_some();
         let harmless = match self.effects[open.class.0] {
             Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
@@ -422,6 +523,7 @@
                 self.act(now_us, action, commands);
             }
             self.actions = actions;
+            self.carry_out_leases(commands);
         }
     }
 
@@ -443,9 +545,9 @@
             }
             Action::Cancel { request, attempt } => self.stop(request, attempt, commands),
             Action::Refuse { request, retry_after } => {
-                self.answer_unserved(request, retry_after, true, commands);
+                self.answer_unserved(now_us, request, retry_after, true, commands);
             }
-            Action::Fail(request) => self.answer_unserved(request, None, false, commands),
+            Action::Fail(request) => self.answer_unserved(now_us, request, None, false, commands),
             Action::SetTimer { delay, token, of } => {
                 let timer = self.timers.arm(now_us + micros(delay), Timer::Module(token));
                 match of.map(|id| self.open.get_mut(&id)) {
@@ -473,7 +575,12 @@
         let attempt = open.attempts;
         open.attempts += 1;
         let until_us = timeout.map_or(open.deadline_us, |t| open.deadline_us.min(now_us + micros(t)));
-        self.out.insert((id, attempt), Out { engine, sent_us: now_us, stopped: false, timer: None });
+        let key = open.key;
+        let out = Out { engine, key, sent_us: now_us, stopped: false, timer: None };
+        self.out.insert((id, attempt), out);
+        if let Some(key) = key {
+            self.leases.attempt_began(key);
+        }
         // A module that asked for one of these would break a rule on the wire; here it only loses a try.
         let spent = self.max_attempts > 0 && attempt >= self.max_attempts;
         if busy || !ready || spent || until_us <= now_us {
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use notchridge::interface::EngineState;
+use notchridge::interface::{EngineState, KeyId};
 use tinyjson::JsonValue;
 
 use crate::config::{Listed, Node, list_entry};
@@ -17,7 +17,7 @@
 
 /// What is told.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Word {
+pub enum Message {
     /// The newer process asks for the place, by its gateway's name and address.
     Hello {
         /// The gateway's name.
@@ -33,11 +33,12 @@
     Enter(String),
     /// It may serve again since this Unix millisecond.
     Exit(String, u64),
-    /// Nothing more belongs to the state; whether the older process takes [`Word::Cancel`], which earlier ones do not
-    /// know.
+    /// Nothing more belongs to the state; what the older process understands, as earlier ones do not know all.
     End {
-        /// It does.
+        /// [`Message::Cancel`].
         cancels: bool,
+        /// Leases of keys.
+        leases: bool,
     },
     /// The newer process was asked to end a request that it does not know: it may be the older one's.
     Cancel {
@@ -47,37 +48,46 @@
         secret: u32,
     },
     /// The newer process takes clients.
-    Taking,
+    Taking {
+        /// It asks for the leases of keys before it runs requests of theirs.
+        leases: bool,
+    },
+    /// The sender wants the lease of a key.
+    Claim(KeyId),
+    /// The sender hands the lease of a key over.
+    Grant(KeyId),
+    /// The sender ends; what it has left running at engines is over after so many milliseconds.
+    Settled(u64),
 }
 
 /// Why what came is not understood.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
-pub enum BadWord {
+pub enum MessageError {
     /// A line without an end.
     #[error("a line does not end")]
     Endless,
     /// It is no JSON, or not what is said here.
-    #[error("what came is no word of a handover")]
+    #[error("what came is no message of a handover")]
     Foreign,
     /// It comes from a program that says things otherwise.
     #[error("it speaks form {0}, not {FORM}")]
     Form(u32),
 }
 
-impl Word {
-    /// Adds the word's line.
+impl Message {
+    /// Adds the message's line.
     pub fn write(&self, out: &mut Vec<u8>) {
         let text = |t: &str| JsonValue::String(t.to_owned());
         // Exact up to 2^53 milliseconds.
         let number = |n: u64| JsonValue::Number(n as f64);
         let members: Vec<(&str, JsonValue)> = match self {
-            Word::Hello { name, listen } => vec![
+            Message::Hello { name, listen } => vec![
                 ("hello", text(name)),
                 ("listen", text(&listen.to_string())),
                 ("form", number(u64::from(FORM))),
             ],
-            Word::Known(name, back_ms) => vec![("known", text(name)), ("ms", number(*back_ms))],
-            Word::Listed(l) => {
+            Message::Known(name, back_ms) => vec![("known", text(name)), ("ms", number(*back_ms))],
+            Message::Listed(l) => {
                 let status = match l.state {
                     EngineState::Ready => "Ready",
                     EngineState::Draining => "Terminating",
@@ -95,15 +105,22 @@
                 let entry = entry.map(|(key, value)| (key.to_owned(), value));
                 vec![("listed", JsonValue::Object(HashMap::from(entry)))]
             }
-            Word::Enter(name) => vec![("enter", text(name))],
-            Word::Exit(name, ms) => vec![("exit", text(name)), ("ms", number(*ms))],
-            Word::End { cancels } => {
-                vec![("end", JsonValue::Boolean(true)), ("cancels", JsonValue::Boolean(*cancels))]
-            }
-            Word::Cancel { session, secret } => {
+            Message::Enter(name) => vec![("enter", text(name))],
+            Message::Exit(name, ms) => vec![("exit", text(name)), ("ms", number(*ms))],
+            Message::End { cancels, leases } => vec![
+                ("end", JsonValue::Boolean(true)),
+                ("cancels", JsonValue::Boolean(*cancels)),
+                ("leases", JsonValue::Boolean(*leases)),
+            ],
+            Message::Cancel { session, secret } => {
                 vec![("cancel", number(u64::from(*session))), ("secret", number(u64::from(*secret)))]
             }
-            Word::Taking => vec![("taking", JsonValue::Boolean(true))],
+            Message::Taking { leases } => {
+                vec![("taking", JsonValue::Boolean(true)), ("leases", JsonValue::Boolean(*leases))]
+            }
+            Message::Claim(key) => vec![("claim", text(&format!("{:016x}", key.0)))],
+            Message::Grant(key) => vec![("grant", text(&format!("{:016x}", key.0)))],
+            Message::Settled(ms) => vec![("settled", JsonValue::Boolean(true)), ("ms", number(*ms))],
         };
         let object = members.into_iter().map(|(key, value)| (key.to_owned(), value)).collect();
         if let Ok(line) = JsonValue::Object(object).stringify() {
@@ -112,49 +129,57 @@
         }
     }
 
-    fn parse(line: &[u8]) -> Result<Self, BadWord> {
-        let text = std::str::from_utf8(line).map_err(|_| BadWord::Foreign)?;
-        let json: JsonValue = text.parse().map_err(|_| BadWord::Foreign)?;
-        let root = Node::root(&json, "word");
+    fn parse(line: &[u8]) -> Result<Self, MessageError> {
+        let text = std::str::from_utf8(line).map_err(|_| MessageError::Foreign)?;
+        let json: JsonValue = text.parse().map_err(|_| MessageError::Foreign)?;
+        let root = Node::root(&json, "message");
         let is = |key: &str| root.get(key).is_there();
-        let foreign = |_| BadWord::Foreign;
+        let foreign = |_| MessageError::Foreign;
         let name = |key: &str| root.get(key).text().map_err(foreign);
+        let flag = |name: &str| root.get(name).flag().map_err(foreign);
+        let key = |member: &str| {
+            let digits = name(member)?;
+            u64::from_str_radix(&digits, 16).map(KeyId).map_err(|_| MessageError::Foreign)
+        };
         let ms = || root.get("ms").number().map(|n| n as u64).map_err(foreign);
         match () {
             () if is("hello") => {
                 let form = root.get("form").number().map_err(foreign)? as u32;
                 if form != FORM {
-                    return Err(BadWord::Form(form));
+                    return Err(MessageError::Form(form));
                 }
-                Ok(Word::Hello {
+                Ok(Message::Hello {
                     name: name("hello")?,
                     listen: root.get("listen").address().map_err(foreign)?,
                 })
             }
-            () if is("known") => Ok(Word::Known(name("known")?, ms()?)),
-            () if is("listed") => Ok(Word::Listed(list_entry(&root.get("listed")).map_err(foreign)?)),
-            () if is("enter") => Ok(Word::Enter(name("enter")?)),
-            () if is("exit") => Ok(Word::Exit(name("exit")?, ms()?)),
-            () if is("end") => Ok(Word::End { cancels: root.get("cancels").flag().map_err(foreign)? }),
+            () if is("known") => Ok(Message::Known(name("known")?, ms()?)),
+            () if is("listed") => Ok(Message::Listed(list_entry(&root.get("listed")).map_err(foreign)?)),
+            () if is("enter") => Ok(Message::Enter(name("enter")?)),
+            () if is("exit") => Ok(Message::Exit(name("exit")?, ms()?)),
+            () if is("end") => Ok(Message::End { cancels: flag("cancels")?, leases: flag("leases")? }),
             () if is("cancel") => {
                 let part = |key: &str| root.get(key).number().map(|n| n as u32).map_err(foreign);
-                Ok(Word::Cancel { session: part("cancel")?, secret: part("secret")? })
+                Ok(Message::Cancel { session: part("cancel")?, secret: part("secret")? })
             }
-            () if is("taking") => Ok(Word::Taking),
-            () => Err(BadWord::Foreign),
+            () if is("taking") => Ok(Message::Taking { leases: flag("leases")? }),
+            () if is("claim") => Ok(Message::Claim(key("claim")?)),
+            () if is("grant") => Ok(Message::Grant(key("grant")?)),
+            () if is("settled") => Ok(Message::Settled(ms()?)),
+            () => Err(MessageError::Foreign),
         }
     }
 }
 
-/// Takes the next whole word from what has come; `None` while there is none.
+/// Takes the next whole message from what has come; `None` while there is none.
 ///
 /// # Errors
 /// What came is not understood; nothing after it is.
-pub fn next(input: &mut Vec<u8>) -> Result<Option<Word>, BadWord> {
+pub fn next(input: &mut Vec<u8>) -> Result<Option<Message>, MessageError> {
     let Some(end) = input.iter().position(|b| *b == b'\n') else {
-        return if input.len() > LONGEST_LINE { Err(BadWord::Endless) } else { Ok(None) };
+        return if input.len() > LONGEST_LINE { Err(MessageError::Endless) } else { Ok(None) };
     };
-    let word = Word::parse(&input[..end])?;
+    let word = Message::parse(&input[..end])?;
     input.drain(..=end);
     Ok(Some(word))
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod front;
 pub mod handover;
+pub mod key_leases;
 pub mod lateness;
 pub mod metrics;
 pub mod mysql;
--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -17,7 +17,10 @@
 use super::poll::{Interest, Poll, Told};
 use super::{HANDOVER, HANDOVER_LISTENER, Server};
 use crate::config::{Config, ListEvent};
-use crate::handover::{self, Word};
+use crate::core::{Input, NeighbourNews};
+use crate::engine::http::ABANDONED_US;
+use crate::handover::{self, Message};
+use crate::key_leases::Neighbour;
 
 /// The older process tells all it knows within this, or the newer one starts without.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -29,9 +32,11 @@
 /// What an older process has told and handed over.
 pub struct Inheritance {
     pub listeners: Vec<TcpListener>,
-    pub words: Vec<Word>,
+    pub messages: Vec<Message>,
     /// Whether the older process takes cancels.
     pub cancels: bool,
+    /// Whether it shares keys by leases.
+    pub leases: bool,
     /// The connection, for as long as both live, and what came over it behind the state.
     pub stream: UnixStream,
     pub rest: Vec<u8>,
@@ -60,6 +65,14 @@
     }
 }
 
+/// The connection to an older process, what came over it behind its state, and what it understands.
+pub struct Older {
+    pub stream: UnixStream,
+    pub rest: Vec<u8>,
+    pub cancels: bool,
+    pub leases: bool,
+}
+
 fn bad(why: impl ToString) -> io::Error {
     io::Error::new(ErrorKind::InvalidData, why.to_string())
 }
@@ -69,16 +82,16 @@
     stream.set_read_timeout(Some(PATIENCE))?;
     stream.set_write_timeout(Some(PATIENCE))?;
     let mut hello = Vec::new();
-    Word::Hello { name: config.name.clone(), listen: config.listen }.write(&mut hello);
+    Message::Hello { name: config.name.clone(), listen: config.listen }.write(&mut hello);
     stream.write_all(&hello)?;
-    let (mut input, mut listeners, mut words) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut input, mut listeners, mut messages) = (Vec::new(), Vec::new(), Vec::new());
     let (mut taken, mut chunk) = (0, [0; 16 * 1024]);
     loop {
-        while let Some(word) = handover::next(&mut input).map_err(bad)? {
-            if let Word::End { cancels } = word {
-                return Ok(Inheritance { listeners, words, cancels, stream, rest: input });
+        while let Some(message) = handover::next(&mut input).map_err(bad)? {
+            if let Message::End { cancels, leases } = message {
+                return Ok(Inheritance { listeners, messages, cancels, leases, stream, rest: input });
             }
-            words.push(word);
+            messages.push(message);
         }
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
         let mut control = RecvAncillaryBuffer::new(&mut space);
@@ -126,6 +139,10 @@
     role: Role,
     /// It takes cancels.
     cancels: bool,
+    /// It shares keys by leases.
+    leases: bool,
+    /// When what it has left running is over, once it has said that it ends, in microseconds.
+    settled_us: Option<u64>,
     input: Vec<u8>,
     output: Vec<u8>,
 }
@@ -169,8 +186,16 @@
         stream.set_nonblocking(true)?;
         self.serials = self.serials.wrapping_add(1);
         poll.add(&stream, HANDOVER | u64::from(self.serials), READS, Told::Always)?;
-        let (serial, cancels) = (self.serials, false);
-        self.peers.push(Peer { stream, serial, role, cancels, input, output: Vec::new() });
+        self.peers.push(Peer {
+            stream,
+            serial: self.serials,
+            role,
+            cancels: false,
+            leases: false,
+            settled_us: None,
+            input,
+            output: Vec::new(),
+        });
         Ok(())
     }
 
@@ -211,13 +236,13 @@
 impl Server {
     /// Takes in what the older process knew. The list of engines as it stood there is newer than the
     /// configuration's.
-    pub(super) fn take_over(&mut self, words: Vec<Word>) {
+    pub(super) fn take_over(&mut self, messages: Vec<Message>) {
         let mut entries = Vec::new();
-        for word in words {
-            match word {
-                Word::Known(name, back_ms) => self.roster.restore(&name, back_ms),
-                Word::Listed(listed) => entries.push(listed),
-                Word::Enter(name) => {
+        for message in messages {
+            match message {
+                Message::Known(name, back_ms) => self.roster.restore(&name, back_ms),
+                Message::Listed(listed) => entries.push(listed),
+                Message::Enter(name) => {
                     self.roster.remember(&name);
                     // Its entry in the list comes behind, and is seen as it counts then.
                     let _ = self.roster.enter(&name);
@@ -236,13 +261,18 @@
     }
 
     /// This process serves from here on: says so to the older one, and listens for the next.
-    pub(super) fn found_family(&mut self, elder: Option<(UnixStream, Vec<u8>, bool)>) {
+    pub(super) fn found_family(&mut self, older: Option<Older>) {
         self.family.path = path(&self.config);
-        if let Some((stream, rest, cancels)) = elder {
-            match self.family.join(&self.poll, stream, Role::Elder, rest) {
+        if let Some(older) = older {
+            match self.family.join(&self.poll, older.stream, Role::Elder, older.rest) {
                 Ok(()) => {
-                    self.family.peers[0].cancels = cancels;
-                    Word::Taking.write(&mut self.family.peers[0].output);
+                    let peer = &mut self.family.peers[0];
+                    (peer.cancels, peer.leases) = (older.cancels, older.leases);
+                    Message::Taking { leases: older.leases }.write(&mut peer.output);
+                    if older.leases {
+                        let neighbour = Neighbour(peer.serial);
+                        self.inputs.push(Input::Neighbour(neighbour, NeighbourNews::Followed));
+                    }
                     self.peer_ready(HANDOVER | u64::from(self.family.serials));
                 }
                 Err(e) => tracing::warn!("the older process is not told: {e}"),
@@ -277,7 +307,7 @@
         };
         loop {
             match handover::next(&mut self.family.peers[at].input) {
-                Ok(Some(word)) => over |= !self.peer_says(at, word),
+                Ok(Some(message)) => over |= !self.peer_says(at, message),
                 Ok(None) => break,
                 Err(e) => {
                     tracing::error!("another process is not understood: {e}");
@@ -292,9 +322,9 @@
     }
 
     /// False where the connection is of no more use.
-    fn peer_says(&mut self, at: usize, word: Word) -> bool {
-        match (self.family.peers[at].role, word) {
-            (Role::Caller, Word::Hello { name, listen }) => {
+    fn peer_says(&mut self, at: usize, message: Message) -> bool {
+        match (self.family.peers[at].role, message) {
+            (Role::Caller, Message::Hello { name, listen }) => {
                 if name != self.config.name
                     || listen.port() != 0 && Some(listen) != self.listeners.pg_address()
                 {
@@ -303,24 +333,38 @@
                 }
                 self.bequeath(at)
             }
-            (Role::Heir, Word::Taking) => {
+            (Role::Heir, Message::Taking { leases }) => {
                 tracing::info!("a newer process takes the clients");
                 self.family.peers[at].role = Role::Taker;
+                self.family.peers[at].leases = leases;
                 self.listeners.hand_over(&self.poll);
                 true
             }
-            (Role::Elder | Role::Heir | Role::Taker, Word::Enter(name)) => {
+            (Role::Elder | Role::Heir | Role::Taker, Message::Enter(name)) => {
                 self.roster.remember(&name);
                 self.change_by_hand(&name, None).is_ok()
             }
-            (Role::Elder | Role::Heir | Role::Taker, Word::Exit(name, ms)) => {
+            (Role::Elder | Role::Heir | Role::Taker, Message::Exit(name, ms)) => {
                 self.roster.remember(&name);
                 self.change_by_hand(&name, Some(ms)).is_ok()
             }
-            (Role::Taker, Word::Cancel { session, secret }) => {
+            (Role::Taker, Message::Cancel { session, secret }) => {
                 self.cancel(session, secret);
                 true
             }
+            (Role::Elder | Role::Taker, Message::Claim(key)) => {
+                tracing::debug!(key = key.0, "another process asks for the lease of a key");
+                self.hear(at, NeighbourNews::Claims(key));
+                true
+            }
+            (Role::Elder | Role::Taker, Message::Grant(key)) => {
+                self.hear(at, NeighbourNews::Grants(key));
+                true
+            }
+            (Role::Elder | Role::Taker, Message::Settled(ms)) => {
+                self.family.peers[at].settled_us = Some(self.time.now_us + ms.saturating_mul(1000));
+                true
+            }
             _ => {
                 tracing::error!("another process says what it has no place to say");
                 false
@@ -331,10 +375,10 @@
     /// Tells a newer process all that it must know, with the listeners beside the first byte.
     fn bequeath(&mut self, at: usize) -> bool {
         let mut out = Vec::new();
-        self.roster.names().for_each(|(name, ms)| Word::Known(name.to_owned(), ms).write(&mut out));
-        self.roster.listed().for_each(|l| Word::Listed(l.clone()).write(&mut out));
-        self.roster.out().for_each(|name| Word::Enter(name.to_owned()).write(&mut out));
-        Word::End { cancels: true }.write(&mut out);
+        self.roster.names().for_each(|(name, ms)| Message::Known(name.to_owned(), ms).write(&mut out));
+        self.roster.listed().for_each(|l| Message::Listed(l.clone()).write(&mut out));
+        self.roster.out().for_each(|name| Message::Enter(name.to_owned()).write(&mut out));
+        Message::End { cancels: true, leases: true }.write(&mut out);
         let peer = &mut self.family.peers[at];
         let fds: Vec<_> = self.listeners.all().map(AsFd::as_fd).collect();
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
@@ -359,16 +403,45 @@
     /// A CancelRequest names no session here: it may be one of the older process, whose clients call here too.
     pub(super) fn pass_cancel(&mut self, session: u32, secret: u32) {
         if let Some(at) = self.family.peers.iter().position(|p| p.role == Role::Elder && p.cancels) {
-            Word::Cancel { session, secret }.write(&mut self.family.peers[at].output);
+            Message::Cancel { session, secret }.write(&mut self.family.peers[at].output);
             if self.family.flush(&self.poll, at).is_err() {
                 self.peer_gone(at);
             }
         }
     }
 
+    fn hear(&mut self, at: usize, news: NeighbourNews) {
+        let neighbour = Neighbour(self.family.peers[at].serial);
+        self.inputs.push(Input::Neighbour(neighbour, news));
+    }
+
+    /// Tells another process, if it still lives.
+    pub(super) fn tell_neighbour(&mut self, neighbour: Neighbour, message: &Message) {
+        let Some(at) = self.family.peers.iter().position(|p| p.serial == neighbour.0) else { return };
+        message.write(&mut self.family.peers[at].output);
+        if self.family.flush(&self.poll, at).is_err() {
+            self.peer_gone(at);
+        }
+    }
+
+    /// This process ends: others that share its keys learn when what it leaves running is over.
+    pub(super) fn settle_leases(&mut self) {
+        let now_us = self.time.now_us;
+        let rest_us = self.core.keys_rest_until_us(now_us, ABANDONED_US).saturating_sub(now_us);
+        let sharing: Vec<u32> = self.family.peers.iter().filter(|p| p.leases).map(|p| p.serial).collect();
+        for serial in sharing {
+            self.tell_neighbour(Neighbour(serial), &Message::Settled(rest_us.div_ceil(1000)));
+        }
+    }
+
     fn peer_gone(&mut self, at: usize) {
         let peer = self.family.peers.remove(at);
         self.poll.remove(&peer.stream);
+        if peer.leases {
+            let silent_us = self.core.rests_after(self.time.now_us + ABANDONED_US);
+            let over_us = peer.settled_us.unwrap_or(silent_us);
+            self.inputs.push(Input::Neighbour(Neighbour(peer.serial), NeighbourNews::Ended(over_us)));
+        }
         // Whoever had taken this one's place, and the path to it, has ended first: all is as it was.
         if peer.role == Role::Taker && !self.shutdown.has_begun() && !self.family.is_followed() {
             tracing::warn!("the newer process has ended: taking clients again");
@@ -378,10 +451,10 @@
     }
 
     /// Tells all other processes of this gateway.
-    pub(super) fn tell_family(&mut self, word: &Word) {
+    pub(super) fn tell_family(&mut self, message: &Message) {
         for at in (0..self.family.peers.len()).rev() {
             if self.family.peers[at].role != Role::Caller {
-                word.write(&mut self.family.peers[at].output);
+                message.write(&mut self.family.peers[at].output);
                 if self.family.flush(&self.poll, at).is_err() {
                     self.peer_gone(at);
                 }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -34,6 +34,7 @@
 use crate::config::{Config, Names};
 use crate::core::{Command, Core, Input};
 use crate::counters::Counters;
+use crate::handover::Message;
 use crate::lateness::Lateness;
 use crate::metrics::Metrics;
 use crate::roster::Roster;
@@ -175,13 +176,13 @@
         };
         server.timers.arm(0, Timer::Watch);
         known.iter().for_each(|event| server.listed(event));
-        let elder = inheritance.map(|i| {
-            server.take_over(i.words);
-            (i.stream, i.rest, i.cancels)
+        let older = inheritance.map(|i| {
+            server.take_over(i.messages);
+            handover::Older { stream: i.stream, rest: i.rest, cancels: i.cancels, leases: i.leases }
         });
         // Whoever calls first finds the core with all that is known.
         server.turn();
-        server.found_family(elder);
+        server.found_family(older);
         Ok(server)
     }
 
@@ -254,6 +255,7 @@
             self.read_sessions();
             self.turn();
             if self.has_ended() {
+                self.settle_leases();
                 self.print();
                 return Ok(self.counters);
             }
@@ -339,6 +341,8 @@
             Command::Rank { request, attempt, priority } => self.rank((request, attempt), priority),
             Command::Stop(request, attempt) => self.stop((request, attempt)),
             Command::Serve(..) | Command::Refuse(..) | Command::Fail(_) => self.answer(command),
+            Command::Claim(neighbour, key) => self.tell_neighbour(neighbour, &Message::Claim(key)),
+            Command::Grant(neighbour, key) => self.tell_neighbour(neighbour, &Message::Grant(key)),
         }
     }
 }
--- a/gateway/src/net/ops.rs
+++ b/gateway/src/net/ops.rs
@@ -9,7 +9,7 @@
 use super::conn::{Conn, Phase, ReadEnd};
 use super::poll::{Interest, Poll, Told};
 use super::{OPS, OPS_LISTENER, ServeError, Server, Timer};
-use crate::handover::Word;
+use crate::handover::Message;
 use crate::metrics::Now;
 use crate::ops::{self, Call, No};
 use crate::roster::NeverListed;
@@ -151,8 +151,9 @@
     fn by_hand(&mut self, name: &str, out: bool) -> Result<String, NeverListed> {
         let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
         self.change_by_hand(name, (!out).then_some(now_ms))?;
-        let word = if out { Word::Enter(name.to_owned()) } else { Word::Exit(name.to_owned(), now_ms) };
-        self.tell_family(&word);
+        let message =
+            if out { Message::Enter(name.to_owned()) } else { Message::Exit(name.to_owned(), now_ms) };
+        self.tell_family(&message);
         Ok(format!("{name} {}\n", if out { "is out" } else { "may serve" }))
     }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -447,12 +447,28 @@
         descriptors: Option<u32>,
         change: impl Fn(String) -> String,
     ) -> Self {
+        let folder = Self::scripted_folder(entries, coordinator, operator, change);
+        Self::launch(folder, ([127, 0, 0, 1], 0).into(), descriptors, false)
+    }
+
+    /// The same without a coordinator, with a door for operators, so that another process may take its place.
+    pub fn scripted_with_door(entries: &str, change: impl Fn(String) -> String) -> Self {
+        let folder = Self::scripted_folder(entries, None, "", change);
+        Self::launch(folder, ([127, 0, 0, 1], 0).into(), None, true)
+    }
+
+    fn scripted_folder(
+        entries: &str,
+        coordinator: Option<SocketAddr>,
+        operator: &str,
+        change: impl Fn(String) -> String,
+    ) -> Arc<Folder> {
         let folder = Self::folder(&[], false, coordinator, operator);
         let file = folder.join("config.json");
         let list = |text: String| text.replace("\"endpoints\":[]", &format!("\"endpoints\":[{entries}]"));
         std::fs::write(&file, change(list(std::fs::read_to_string(&file).unwrap()))).unwrap();
         std::fs::write(folder.join("log-level"), "debug").unwrap();
-        Self::launch(folder, ([127, 0, 0, 1], 0).into(), descriptors, false)
+        folder
     }
 
     /// Its folder.
--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -189,3 +189,74 @@
     let wrong = client.query("/* c=load */ SELECT 1", &[("o", "")]);
     assert!(matches!(wrong, mysql::Answer::Error(1210, ..)), "{wrong:?}");
 }
+
+/// The old process has one request of a key out and one waiting when the new process takes another: that one goes last,
+/// and what the old process takes behind it goes behind it.
+#[test]
+fn a_key_keeps_its_order_over_both_processes_of_an_upgrade() {
+    let engines = Engines::start(&["e1", "e2"]);
+    let old = Gateway::scripted_with_door(&engines.entries, keeps_order);
+    let (mut first, mut second) = (ask(&old, 1, "k1"), ask(&old, 2, "k1"));
+    let mut held = pg::Client::connect(old.pg);
+    let out = engines.next_start(&id(1));
+    let new = old.successor();
+    old.logged("a newer process takes the clients");
+    let mut third = ask(&new, 3, "k1");
+    old.logged("asks for the lease of a key");
+    held.send(&load(4, "k1"));
+    old.logged(&format!("taken ticket=\"{}\"", id(4)));
+    // Another key goes out at once, which shows that the new process has had its turns.
+    let mut other = ask(&new, 9, "k2");
+    engines.next_start(&id(9)).row();
+    is_served(&mut other, 9);
+    out.row();
+    is_served(&mut first, 1);
+    for (client, n) in [(&mut second, 2), (&mut third, 3), (&mut held, 4)] {
+        engines.next_start(&id(n)).row();
+        is_served(client, n);
+    }
+}
+
+#[test]
+fn a_key_is_free_once_a_process_that_died_can_have_nothing_running() {
+    let engines = Engines::start(&["e1", "e2"]);
+    let old = Gateway::scripted_with_door(&engines.entries, keeps_order);
+    let _first = ask(&old, 1, "k1");
+    let _out = engines.next_start(&id(1));
+    let new = old.successor();
+    old.logged("a newer process takes the clients");
+    let mut second = ask(&new, 2, "k1");
+    old.logged("asks for the lease of a key");
+    let died = Instant::now();
+    old.kill();
+    let out = engines.next_start(&id(2));
+    assert!(died.elapsed() >= ABANDONED + REST, "after {:?}", died.elapsed());
+    out.row();
+    is_served(&mut second, 2);
+    let mut third = ask(&new, 3, "k1");
+    engines.next_start(&id(3)).row();
+    is_served(&mut third, 3);
+}
+
+/// The old process ends while the new one waits for a key of its.
+#[test]
+fn a_process_that_ends_in_order_hands_its_keys_over() {
+    let engines = Engines::start(&["e1", "e2"]);
+    let old = Gateway::scripted_with_door(&engines.entries, keeps_order);
+    let mut first = ask(&old, 1, "k1");
+    let out = engines.next_start(&id(1));
+    let new = old.successor();
+    old.logged("a newer process takes the clients");
+    let mut second = ask(&new, 2, "k1");
+    old.logged("asks for the lease of a key");
+    old.terminate();
+    old.signal("-HUP");
+    out.row();
+    is_served(&mut first, 1);
+    engines.next_start(&id(2)).row();
+    is_served(&mut second, 2);
+    assert_eq!(old.wait().0, Some(0));
+    let mut third = ask(&new, 3, "k1");
+    engines.next_start(&id(3)).row();
+    is_served(&mut third, 3);
+}
