--- /dev/null
+++ b/gateway/src/net/engines/list.rs
@@ -0,0 +1,98 @@
+//! The list of engines as the network keeps it: addresses, states, and which engines are forgotten.
+
+use std::collections::BTreeSet;
+
+use notchridge::interface::*;
+
+use super::{Engine, Server};
+use crate::config::{ListEvent, Listed, Names};
+use crate::core::Input;
+
+impl Server {
+    /// Takes in an event of the list.
+    pub(in crate::net) fn listed(&mut self, event: &ListEvent) {
+        self.counters.list_events += 1;
+        // One line however many there are: a list of thousands may be wrong throughout.
+        if let Some(first) = event.unread.first() {
+            let (engine, unread) = (first.name.as_deref().unwrap_or("unnamed"), event.unread.len());
+            tracing::warn!(
+                event = event.index,
+                engine,
+                unread,
+                "an entry of the list can't be read: {}",
+                first.why
+            );
+        }
+        let event = self.roster.apply(event);
+        self.take_list(&event);
+    }
+
+    /// Takes in news of engines as they count here: who is out by hand drains.
+    pub(in crate::net) fn take_list(&mut self, event: &ListEvent) {
+        let mut entries = Vec::with_capacity(event.entries.len());
+        let mut stale = Vec::new();
+        if event.full {
+            let named: BTreeSet<EngineId> =
+                event.entries.iter().filter_map(|l| self.pools.ids.get(&l.name).copied()).collect();
+            for (id, e) in &mut self.pools.engines {
+                if !named.contains(id) {
+                    e.state = EngineState::Gone;
+                    stale.extend(e.all_idle());
+                }
+            }
+        }
+        for l in &event.entries {
+            let id = *self.pools.ids.entry(l.name.clone()).or_insert_with(|| {
+                self.pools.met += 1;
+                EngineId(self.pools.met - 1)
+            });
+            let mysql = self.config.mysql.as_ref().and_then(|m| m.engines.get(&l.name).copied());
+            let e = self.pools.engines.entry(id).or_insert_with(|| Engine {
+                address: l.address,
+                mysql,
+                state: l.state,
+                since_ms: l.since_ms,
+                idle: Default::default(),
+            });
+            // Connections to a process that has gone, moved or started anew lead nowhere.
+            if l.state == EngineState::Gone || l.since_ms != e.since_ms || l.address != e.address {
+                stale.extend(e.all_idle());
+            }
+            if l.state != EngineState::Gone {
+                e.address = l.address;
+            }
+            (e.state, e.since_ms) = (l.state, l.since_ms);
+            let now_us = self.time.now_us;
+            tracing::debug!(engine = id.0, name = l.name, state = ?l.state, since_ms = l.since_ms, now_us, "engine listed");
+            entries.push(self.entry(id, l));
+        }
+        for at in stale {
+            self.pools.close(&self.poll, &mut self.timers, at);
+        }
+        let mode = if event.full { ListMode::Full } else { ListMode::Delta };
+        self.inputs.push(Input::List(mode, entries));
+        self.prune_engines();
+    }
+
+    /// Forgets engines that have gone once nothing refers to them: new names come for as long as this runs.
+    pub(super) fn prune_engines(&mut self) {
+        let mut used: BTreeSet<EngineId> = self.pools.peers.iter().flatten().map(|p| p.link.engine).collect();
+        used.extend(self.pools.attempts.values().map(|a| a.engine));
+        self.pools.engines.retain(|id, e| e.state != EngineState::Gone || used.contains(id));
+        let engines = &self.pools.engines;
+        self.pools.ids.retain(|_, id| engines.contains_key(id));
+    }
+
+    pub(super) fn entry(&mut self, engine: EngineId, l: &Listed) -> EngineEntry {
+        // Unix milliseconds to the core's clock, which started at a known Unix time.
+        let started = i128::from(l.since_ms) * 1000 - self.time.unix_offset_us;
+        EngineEntry {
+            engine,
+            zone: ZoneId(Names::number(&mut self.names.zones, &l.zone)),
+            kind: KindId(Names::number(&mut self.names.kinds, &l.kind)),
+            cell: l.cell,
+            state: l.state,
+            started: (l.since_ms > 0).then_some(started as f64 / 1e6),
+        }
+    }
+}
--- a/gateway/src/net/engines/tests.rs
+++ b/gateway/src/net/engines/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::config::{self, Node};
+use crate::config::{self, ListEvent, Listed, Node};
 
 #[test]
 fn engines_that_have_gone_are_forgotten_and_their_numbers_not_given_out_again() {
