--- /dev/null
+++ b/lab/src/capacity/mod.rs
@@ -0,0 +1,159 @@
+//! What the gateway costs as a function of size, and the page that holds it against the size that has to be carried.
+
+pub mod bounds;
+pub mod decisions;
+pub mod error;
+pub mod experiments;
+pub mod fit;
+pub mod hollow;
+pub mod page;
+pub mod process;
+pub mod reckon;
+pub mod sessions;
+pub mod site;
+pub mod slopes;
+pub mod stand_ins;
+pub mod target;
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use clap::{Args, Subcommand};
+
+use bounds::{Guard, Limits};
+use error::CapacityError;
+use experiments::{Bench, Effort};
+use hollow::Hollow;
+use slopes::{Experiment, Machine, Measured, Slopes};
+use target::Target;
+
+/// What the gateway costs by size, and the page that holds it against a target.
+#[derive(Args)]
+pub struct Options {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Subcommand)]
+enum Action {
+    /// Plays experiments and puts what they give into the file of slopes.
+    Measure(MeasureOptions),
+    /// Makes the page from slopes, target and, where they are there, figures of hollow runs.
+    Page(PageOptions),
+}
+
+/// What the page is made from, and where it goes.
+#[derive(Args)]
+struct PageOptions {
+    /// The file of slopes.
+    #[arg(long, default_value = "docs/capacity/slopes.json")]
+    slopes: PathBuf,
+    /// The size that has to be carried.
+    #[arg(long, default_value = "docs/capacity/target.toml")]
+    target: PathBuf,
+    /// Figures of hollow runs; a file that is not there holds none.
+    #[arg(long, default_value = "docs/capacity/hollow.json")]
+    hollow: PathBuf,
+    /// Where the page goes.
+    #[arg(long, default_value = "docs/CAPACITY.md")]
+    output: PathBuf,
+    /// Writes nothing, and fails where the page is another.
+    #[arg(long)]
+    check: bool,
+}
+
+/// What to measure, and where the figures go.
+#[derive(Args)]
+struct MeasureOptions {
+    /// Which experiments.
+    #[arg(required = true, value_enum)]
+    experiments: Vec<Experiment>,
+    /// Other sizes than those of the experiment.
+    #[arg(long, value_delimiter = ',')]
+    sizes: Vec<usize>,
+    /// Plays at each size.
+    #[arg(long, default_value_t = 3)]
+    plays: usize,
+    /// A gateway that is built already; without it the workspace's is built.
+    #[arg(long)]
+    gateway: Option<PathBuf>,
+    /// The file of slopes; what the experiments gave before is replaced.
+    #[arg(long)]
+    slopes: Option<PathBuf>,
+    #[command(flatten)]
+    limits: Limits,
+}
+
+/// Does what the options say.
+///
+/// # Errors
+/// A bound is passed, a file is wrong, or the gateway does not do what is waited for.
+pub fn run(options: &Options) -> Result<(), CapacityError> {
+    match &options.action {
+        Action::Measure(options) => measure(options),
+        Action::Page(options) => make_page(options),
+    }
+}
+
+fn make_page(options: &PageOptions) -> Result<(), CapacityError> {
+    let target = Target::read(&options.target)?;
+    let (slopes, hollow) = (Slopes::read(&options.slopes)?, Hollow::read(&options.hollow)?);
+    let text = page::page(&target, &slopes, &hollow);
+    let path = &options.output;
+    if !options.check {
+        return std::fs::write(path, text).map_err(CapacityError::file(path));
+    }
+    let present = std::fs::read_to_string(path).map_err(CapacityError::file(path))?;
+    if present == text { Ok(()) } else { Err(CapacityError::Stale(path.clone())) }
+}
+
+fn measure(options: &MeasureOptions) -> Result<(), CapacityError> {
+    let program = match &options.gateway {
+        Some(program) => program.clone(),
+        None => build()?,
+    };
+    let bench = Bench { program, effort: Effort::default(), guard: Guard::new(options.limits) };
+    for experiment in &options.experiments {
+        let sizes = if options.sizes.is_empty() { experiment.sizes() } else { &options.sizes };
+        let measured = bench.run(*experiment, sizes, options.plays.max(1), &command(*experiment))?;
+        measured.iter().for_each(print);
+        if let Some(path) = &options.slopes {
+            let mut slopes = Slopes::read(path)?;
+            slopes.machine = Machine::this();
+            slopes.replace(*experiment, measured);
+            slopes.write(path)?;
+        }
+    }
+    Ok(())
+}
+
+fn command(experiment: Experiment) -> String {
+    format!("wrenhatch-lab capacity measure {experiment}")
+}
+
+fn print(measured: &Measured) {
+    println!("{} by {} ({})", measured.name(), measured.of, measured.fixed);
+    for point in &measured.points {
+        let plays: Vec<String> = point.plays.iter().map(|v| format!("{v:.3}")).collect();
+        println!("  {:>6}  {:>14.3} {}  of {}", point.size, point.median(), measured.unit, plays.join(", "));
+    }
+    if let Some(fit) = &measured.fit {
+        let growth = if fit.linear { "linear" } else { "NOT linear" };
+        println!(
+            "  slope {:.6} +- {:.6}, {growth}: misfit {:.3}, noise {:.3}; {:.6} at first, {:.6} at last",
+            fit.slope, fit.slope_error, fit.misfit, fit.noise, fit.first_slope, fit.last_slope
+        );
+    }
+    measured.unusable.iter().for_each(|why| println!("  unusable: {why}"));
+}
+
+/// Builds the gateway and says where it is.
+fn build() -> Result<PathBuf, CapacityError> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let built = Command::new(cargo).args(["build", "--release", "--locked", "-p", "wrenhatch"]).status()?;
+    if !built.success() {
+        return Err(CapacityError::Peer("the gateway could not be built".to_owned()));
+    }
+    let own = std::env::current_exe()?;
+    Ok(own.parent().unwrap_or(Path::new(".")).join("../release/wrenhatch"))
+}
--- /dev/null
+++ b/lab/src/capacity/process.rs
@@ -0,0 +1,198 @@
+//! The gateway as a process, and what the system tells of it.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::bounds::status;
+use super::error::CapacityError;
+use super::site::Site;
+
+/// How long an answer of the gateway is waited for.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Bytes of a line end.
+const LINE_END: u64 = 1;
+
+/// A gateway process.
+pub struct Gateway {
+    child: Child,
+    folder: PathBuf,
+    lines: Receiver<String>,
+    log_bytes: Arc<AtomicU64>,
+    /// Where it speaks PostgreSQL.
+    pub listen: SocketAddr,
+    /// Where operators call.
+    pub ops: SocketAddr,
+    /// Bytes of its configuration's file.
+    pub file_bytes: usize,
+}
+
+/// Tells folders of gateways apart that one run starts.
+static STARTED: AtomicU64 = AtomicU64::new(0);
+
+impl Gateway {
+    /// Starts a program at a site, with its log at a level.
+    ///
+    /// # Errors
+    /// It does not serve.
+    pub fn start(program: &Path, site: &Site, level: &str) -> Result<Self, CapacityError> {
+        let number = STARTED.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("wrenhatch-capacity-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(CapacityError::file(&folder))?;
+        let config = folder.join("config.json");
+        let text = site.configuration();
+        std::fs::write(&config, &text).map_err(CapacityError::file(&config))?;
+        let mut command = Command::new(program);
+        command.args(["serve", "--log", level]).env("LB_CONFIG", &config).env("TMPDIR", &folder);
+        command.env("LB_NAME", "capacity").env("LB_LISTEN", "127.0.0.1:0").env("LB_OPS", "127.0.0.1:0");
+        command.stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().map_err(CapacityError::file(program))?;
+        let log_bytes = Arc::<AtomicU64>::default();
+        let (tell, lines) = channel();
+        if let Some(log) = child.stderr.take() {
+            let counted = log_bytes.clone();
+            thread::spawn(move || read_log(log, &counted, &tell));
+        }
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut gateway =
+            Self { child, folder, lines, log_bytes, listen: unset, ops: unset, file_bytes: text.len() };
+        let serving = gateway.line_with("serving")?;
+        gateway.listen = address(&serving, "listen=")?;
+        gateway.ops = address(&serving, "ops=")?;
+        Ok(gateway)
+    }
+
+    /// Its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Processor time so far, in microseconds: of its one thread, by `schedstat` of proc(5).
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn cpu_us(&self) -> Result<f64, CapacityError> {
+        let path = PathBuf::from(format!("/proc/{}/schedstat", self.process()));
+        let text = std::fs::read_to_string(&path).map_err(CapacityError::file(&path))?;
+        let spent = text.split_whitespace().next().and_then(|ns| ns.parse::<f64>().ok());
+        spent.map(|ns| ns / 1e3).ok_or_else(|| CapacityError::Peer("no processor time is told".to_owned()))
+    }
+
+    /// Anonymous memory that is resident, in bytes.
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn resident_bytes(&self) -> Result<f64, CapacityError> {
+        let kilobytes = status(self.process(), "RssAnon:");
+        let ended = || CapacityError::Peer("the gateway has ended".to_owned());
+        kilobytes.map(|kb| kb as f64 * 1024.0).ok_or_else(ended)
+    }
+
+    /// Descriptors that it holds.
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn descriptors(&self) -> Result<usize, CapacityError> {
+        let path = PathBuf::from(format!("/proc/{}/fd", self.process()));
+        Ok(std::fs::read_dir(&path).map_err(CapacityError::file(&path))?.count())
+    }
+
+    /// Bytes that it has logged so far.
+    pub fn log_bytes(&self) -> u64 {
+        self.log_bytes.load(Ordering::SeqCst)
+    }
+
+    /// Sends SIGHUP: it reads its configuration again.
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn reload(&self) -> Result<(), CapacityError> {
+        self.signal(Signal::HUP)
+    }
+
+    /// Has it print its counters, and reads one of them.
+    ///
+    /// # Errors
+    /// It has ended, or does not know the counter.
+    pub fn counter(&self, name: &str) -> Result<u64, CapacityError> {
+        while self.lines.try_recv().is_ok() {}
+        self.signal(Signal::USR1)?;
+        let line = self.line_with("counters=")?;
+        let key = format!("{name}=");
+        let word = line.split(['"', ' ']).find_map(|word| word.strip_prefix(&key));
+        let unknown = || CapacityError::Peer(format!("no counter {name} in {line}"));
+        word.and_then(|n| n.parse().ok()).ok_or_else(unknown)
+    }
+
+    /// The answer to `GET /status/metrics`, head included.
+    ///
+    /// # Errors
+    /// It does not answer.
+    pub fn metrics(&self) -> Result<String, CapacityError> {
+        let mut stream = TcpStream::connect(self.ops)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.write_all(b"GET /status/metrics HTTP/1.1\r\nHost: capacity\r\n\r\n")?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    }
+
+    /// Engines in its list, by its own figures.
+    ///
+    /// # Errors
+    /// It does not answer, or does not tell.
+    pub fn engines_known(&self) -> Result<usize, CapacityError> {
+        let figures = self.metrics()?;
+        let known = figures.lines().find_map(|line| line.strip_prefix("edge_lb.engines_known="));
+        let untold = || CapacityError::Peer("it does not tell how many engines it knows".to_owned());
+        known.and_then(|n| n.parse().ok()).ok_or_else(untold)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), CapacityError> {
+        let process = Pid::from_raw(self.process() as i32);
+        let process = process.ok_or_else(|| CapacityError::Peer("no process".to_owned()))?;
+        kill_process(process, signal).map_err(|e| CapacityError::Io(e.into()))
+    }
+
+    fn line_with(&self, text: &str) -> Result<String, CapacityError> {
+        loop {
+            let none = |_| CapacityError::Peer(format!("the gateway logs nothing with {text}"));
+            let line = self.lines.recv_timeout(PATIENCE).map_err(none)?;
+            if line.contains(text) {
+                return Ok(line);
+            }
+        }
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Counts the bytes of the log and passes on the lines that are waited for; those of single requests are not kept.
+fn read_log(log: ChildStderr, counted: &AtomicU64, tell: &Sender<String>) {
+    for line in BufReader::new(log).lines().map_while(Result::ok) {
+        counted.fetch_add(line.len() as u64 + LINE_END, Ordering::SeqCst);
+        if line.contains("serving") || line.contains("counters=") {
+            let _ = tell.send(line);
+        }
+    }
+}
+
+fn address(line: &str, key: &str) -> Result<SocketAddr, CapacityError> {
+    let word = line.split_whitespace().find_map(|word| word.strip_prefix(key));
+    let none = || CapacityError::Peer(format!("no address behind {key} in: {line}"));
+    word.and_then(|w| w.trim_matches('"').parse().ok()).ok_or_else(none)
+}
--- /dev/null
+++ b/lab/src/capacity/reckon/gateway.rs
@@ -0,0 +1,320 @@
+//! What the target needs of a gateway.
+
+use super::super::slopes::{Experiment as E, Quantity as Q};
+use super::{
+    Amount, Case, DAY_S, Entry, Ledger, MEGABYTE, Resource, Role, Source, entry, list_events_per_day, number,
+};
+
+/// Microseconds of a second.
+const SECOND_US: f64 = 1e6;
+/// Open requests of the experiments that vary something else.
+const FIXED_OPEN: f64 = 16.0;
+/// The fewest engines that were measured.
+const FEWEST_ENGINES: f64 = 16.0;
+/// Descriptors of a process beside connections (`OWN_DESCRIPTORS`, and the operators' door with its callers).
+const OWN_DESCRIPTORS: f64 = 49.0;
+/// The share of its memory that the text of one event may take (`SHARE` in `coordinator.rs`).
+const EVENT_SHARE: f64 = 1.0 / 16.0;
+/// A gateway works with as many databases as it gets requests in so many seconds (`WORKING` in `policy.rs`).
+const WORKED_WITH_S: f64 = 2.0;
+/// How long a connection rests behind an answer, in seconds (`REST_US` in `engines.rs`).
+const REST_S: f64 = 0.025;
+/// Bytes of the comment that the stream brings each second.
+const COMMENT_BYTES: f64 = super::super::stand_ins::COMMENT.len() as f64;
+
+/// Adds all needs of a gateway.
+pub fn reckon(ledger: &mut Ledger<'_>) {
+    statements(ledger);
+    list(ledger);
+    configuration(ledger);
+    primary(ledger);
+    connections(ledger);
+    memory(ledger);
+    volume(ledger);
+}
+
+fn processor(case: Case, what: impl Into<String>) -> Entry {
+    entry(Resource::Processor, case, what, "cores")
+}
+
+/// Processor time of statements: the whole, and its parts.
+fn statements(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let (rate, cores) = (t.statements_per_gateway() / SECOND_US, t.gateway_cores);
+    let Some(whole) = ledger.at(E::StatementEngines, Q::Cpu, t.databases) else { return };
+    let by = "gateway/src/net/mod.rs, src/policy.rs";
+    let mut total = whole.clone();
+    ledger.add(
+        Role::Gateway,
+        processor(Case::Ordinary, "statements, few open at once").limit(cores).by(by),
+        whole.times(rate),
+    );
+    if let Some(few) = ledger.at(E::StatementEngines, Q::Cpu, FEWEST_ENGINES) {
+        let grown = entry(Resource::Processor, Case::Ordinary, "of these, what grows with engines", "cores");
+        ledger.add(Role::Gateway, grown.limit(cores).by("src/policy.rs"), whole.minus(&few).times(rate));
+    }
+    if let Some(decided) = ledger.at(E::DecideStatementEngines, Q::Cpu, t.databases) {
+        let what = "of these, decisions alone";
+        ledger.add(
+            Role::Gateway,
+            processor(Case::Ordinary, what).limit(cores).by("src/policy.rs"),
+            decided.times(rate),
+        );
+    }
+    let few = ledger.at(E::StatementOpen, Q::Cpu, FIXED_OPEN);
+    let open = ledger.at(E::StatementOpen, Q::Cpu, t.open_per_gateway);
+    if let (Some(few), Some(open)) = (few, open) {
+        let more = open.minus(&few);
+        total = total.plus(&more);
+        let what =
+            format!("beside that, {} requests open at once, which share turns", number(t.open_per_gateway));
+        ledger.add(
+            Role::Gateway,
+            processor(Case::Ordinary, what).limit(cores).by("gateway/src/core.rs, src/policy.rs"),
+            more.times(rate),
+        );
+    }
+    if let Some(idle) = ledger.slope(E::StatementSessions, Q::Cpu) {
+        let more = idle.times(t.connections_per_gateway());
+        total = total.plus(&more);
+        let what = format!("beside that, {} sessions that are idle", number(t.connections_per_gateway()));
+        ledger.add(
+            Role::Gateway,
+            processor(Case::Ordinary, what).limit(cores).by("gateway/src/net/sessions.rs"),
+            more.times(rate),
+        );
+    }
+    let all = processor(Case::Ordinary, "statements, all of it").limit(cores).by(by);
+    ledger.add(Role::Gateway, all, total.times(rate));
+    if t.zones > 1.0 {
+        let rate = rate * t.zones / (t.zones - 1.0);
+        let what = "statements, with the gateways of a zone gone";
+        ledger.add(Role::Gateway, processor(Case::Worst, what).limit(cores).by(by), total.times(rate));
+    }
+}
+
+/// The list of engines: processor time and bytes, against what control may take.
+fn list(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let by = "gateway/src/net/watch.rs, gateway/src/coordinator.rs, src/policy.rs";
+    let per_day = list_events_per_day(t);
+    let share = |cpu: &Source, events: f64, over_s: f64| cpu.times(100.0 * events / (over_s * SECOND_US));
+    let percent = |case, what: String| {
+        entry(Resource::Processor, case, what, "% of a core").limit(t.control_core_percent).by(by)
+    };
+    let bytes = |case, what: String| {
+        entry(Resource::Messages, case, what, "bytes/s").limit(t.control_bytes_per_s).by(by)
+    };
+    let (within_s, zone) = (t.configuration_within_s, t.databases_per_zone());
+    if let Some(cpu) = ledger.at(E::ChangeEngines, Q::Cpu, t.databases) {
+        let what = format!("changes of the list, {} a day", number(per_day));
+        ledger.add(Role::Gateway, percent(Case::Ordinary, what), share(&cpu, per_day, DAY_S));
+        let what = format!("all {zone} databases of a zone change, over {within_s} s");
+        ledger.add(Role::Gateway, percent(Case::Worst, what), share(&cpu, zone, within_s));
+    }
+    if let Some(cpu) = ledger.at(E::ListEngines, Q::Cpu, t.databases) {
+        let what = format!("a whole list, over {within_s} s");
+        ledger.add(Role::Gateway, percent(Case::Worst, what), share(&cpu, 1.0, within_s));
+    }
+    if let Some(event) = ledger.at(E::ChangeEngines, Q::StreamBytes, t.databases) {
+        let day = event.times(per_day / DAY_S).plus(&Source::target(COMMENT_BYTES));
+        ledger.add(Role::Gateway, bytes(Case::Ordinary, "the list, with a comment a second".to_owned()), day);
+        let what = format!("all {zone} databases of a zone change, over {within_s} s");
+        ledger.add(Role::Gateway, bytes(Case::Worst, what), event.times(zone / within_s));
+    }
+    if let Some(list) = ledger.at(E::ListEngines, Q::StreamBytes, t.databases) {
+        let what = format!("a whole list, over {within_s} s");
+        ledger.add(Role::Gateway, bytes(Case::Worst, what), list.times(1.0 / within_s));
+        let room = t.gateway_memory_mb * MEGABYTE * EVENT_SHARE;
+        let text = entry(Resource::Memory, Case::Worst, "the text of a whole list", "bytes").limit(room);
+        ledger.add(Role::Gateway, text.by("gateway/src/coordinator.rs"), list);
+    }
+    for (experiment, what) in
+        [(E::ChangeEngines, "time to take a change"), (E::ListEngines, "time to take a whole list")]
+    {
+        let Some(taken) = ledger.at(experiment, Q::Taken, t.databases) else { continue };
+        let time = entry(Resource::Messages, Case::Ordinary, what, "ms").limit(within_s * 1e3).by(by);
+        ledger.add(Role::Gateway, time, taken);
+    }
+    if let Some(idle) = ledger.at(E::IdleEngines, Q::IdleCpu, t.databases) {
+        ledger.add(Role::Gateway, percent(Case::Ordinary, "to follow the list, no changes".to_owned()), idle);
+    }
+}
+
+/// Configuration in service: nothing carries it today, and a restart stands in for it.
+fn configuration(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let (per_day, clients) = (t.configuration_per_day, t.connections_per_gateway());
+    files(ledger);
+    let (start, session) =
+        (ledger.at(E::StartEngines, Q::Cpu, t.databases), ledger.at(E::IdleSessions, Q::Cpu, clients));
+    let (Some(start), Some(session)) = (start, session) else { return };
+    let restart = start.plus(&session.times(clients));
+    let share = restart.times(100.0 * per_day / (DAY_S * SECOND_US));
+    let ratio = share.amount.value / t.control_core_percent;
+    let what = format!(
+        "{} changes of classes, shares or limits a day, in force within {} s",
+        number(per_day),
+        t.configuration_within_s
+    );
+    let instead = format!(
+        "a restart for each: start and {} sessions anew take {}% of a core against {} for control",
+        number(clients),
+        number(share.amount.value),
+        t.control_core_percent
+    );
+    let none = entry(Resource::Messages, Case::Ordinary, what, "a day");
+    ledger.add(Role::Gateway, none.by_nothing(instead, Some(ratio)), Source::target(per_day));
+    let restarts = per_day * t.gateways;
+    let instead = format!(
+        "{} restarts of gateways a day, where {} of all machines are ordinary",
+        number(restarts),
+        number(t.restarts_per_day)
+    );
+    let what = "a version of the configuration to all gateways, and who has it";
+    let none = entry(Resource::State, Case::Ordinary, what, "gateways");
+    ledger.add(
+        Role::Control,
+        none.by_nothing(instead, Some(restarts / t.restarts_per_day)),
+        Source::target(t.gateways),
+    );
+}
+
+/// The file of configuration read again for each change: what that takes, and what its bytes would.
+fn files(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let per_s = t.configuration_per_day / DAY_S;
+    if let Some(read) = with_names(ledger, E::ReloadEngines, Q::Cpu) {
+        let what = format!(
+            "the file read again {} times a day; classes, shares and limits don't count",
+            number(t.configuration_per_day)
+        );
+        let share = entry(Resource::Processor, Case::Ordinary, what, "% of a core");
+        ledger.add(
+            Role::Gateway,
+            share.limit(t.control_core_percent).by("gateway/src/net/reload.rs"),
+            read.times(100.0 * per_s / SECOND_US),
+        );
+    }
+    if let Some(file) = with_names(ledger, E::ReloadEngines, Q::FileBytes) {
+        let what = "the whole file, were it sent for each change; nothing sends it";
+        let bytes = entry(Resource::Messages, Case::Ordinary, what, "bytes/s").limit(t.control_bytes_per_s);
+        ledger.add(Role::Gateway, bytes.by("gateway/src/net/reload.rs"), file.times(per_s));
+    }
+}
+
+/// A quantity of the file of configuration at all engines, with what classes and tenants add.
+fn with_names(ledger: &mut Ledger<'_>, experiment: E, quantity: Q) -> Option<Source> {
+    let t = ledger.target;
+    let mut all = ledger.at(experiment, quantity, t.databases)?;
+    for (experiment, count) in [(E::ReloadClasses, t.classes), (E::ReloadTenants, t.tenants)] {
+        let Some(each) = ledger.slope(experiment, quantity) else { continue };
+        all = all.plus(&each.times(count));
+    }
+    Some(all)
+}
+
+/// A change of primary: nothing knows one.
+fn primary(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let what =
+        format!("{} changes of primary a day, each over within {} s", t.primary_per_day, t.primary_within_s);
+    let instead = "no primary, epoch or fencing is known; a list event moves all statements alike";
+    let none = entry(Resource::State, Case::Worst, what, "a day");
+    ledger.add(Role::Gateway, none.by_nothing(instead.to_owned(), None), Source::target(t.primary_per_day));
+}
+
+/// Connections and descriptors.
+fn connections(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let clients = t.connections_per_gateway();
+    let held = |what: &str| entry(Resource::State, Case::Ordinary, what, "");
+    let Some(engines) = ledger.at(E::StatementEngines, Q::Connections, t.databases) else { return };
+    let to_engines = held("connections to databases").by("gateway/src/net/pools.rs, src/policy.rs");
+    ledger.add(Role::Gateway, to_engines, engines.clone());
+    let all = engines.plus(&Source::target(clients + OWN_DESCRIPTORS));
+    let descriptors = held("descriptors, with those of clients").limit(t.gateway_descriptors);
+    ledger.add(Role::Gateway, descriptors.by("gateway/src/net/pools.rs, gateway/src/net/sessions.rs"), all);
+    let places = held("sessions, of a third of the descriptors").limit(t.gateway_descriptors / 3.0);
+    ledger.add(Role::Gateway, places.by("gateway/src/net/sessions.rs"), Source::target(clients));
+    calls(ledger, &engines);
+    let elsewhere = t.databases - t.databases_per_zone();
+    let moved =
+        entry(Resource::State, Case::Worst, "descriptors, its zone's databases gone, one to each other", "");
+    ledger.add(
+        Role::Gateway,
+        moved.limit(t.gateway_descriptors).by("gateway/src/net/pools.rs, src/policy.rs"),
+        Source::target(elsewhere + clients + OWN_DESCRIPTORS),
+    );
+    let share = engines.amount.value / t.databases;
+    let what = "a stable, even subset of databases by zone that a gateway works with";
+    let instead = format!(
+        "as many as there are requests in {WORKED_WITH_S} s, {}, those of its zone first where they have room: connections to \
+         {}% of all databases, {} in the fleet",
+        number(WORKED_WITH_S * t.statements_per_gateway()),
+        number(100.0 * share),
+        number(share * t.pairs())
+    );
+    let descriptors_share = engines.amount.value / t.gateway_descriptors;
+    let none = entry(Resource::State, Case::Ordinary, what, "databases");
+    ledger.add(Role::Gateway, none.by_nothing(instead, Some(descriptors_share)), engines);
+}
+
+/// Calls over each connection, which rests behind every answer.
+fn calls(ledger: &mut Ledger<'_>, connections: &Source) {
+    let t = ledger.target;
+    let what = "calls over each connection, which rests for 25 ms behind an answer";
+    let each = entry(Resource::Messages, Case::Ordinary, what, "a second").limit(1.0 / REST_S);
+    let rate = Source {
+        amount: Amount::exact(t.statements_per_gateway() / connections.amount.value),
+        ..connections.times(1.0)
+    };
+    ledger.add(Role::Gateway, each.by("gateway/src/net/engines.rs"), rate);
+}
+
+/// Memory, for control and in all.
+fn memory(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let mb = |case, what: &str, limit: f64, by: &'static str| {
+        entry(Resource::Memory, case, what, "MB").limit(limit).by(by)
+    };
+    let to_mb = 1.0 / MEGABYTE;
+    if let Some(kept) = ledger.at(E::StartEngines, Q::Resident, t.databases) {
+        let what = "resident with the list and no client";
+        let by = "gateway/src/net/pools.rs, src/policy.rs";
+        ledger.add(Role::Gateway, mb(Case::Ordinary, what, t.control_memory_mb, by), kept.in_unit(to_mb));
+    }
+    let Some(worked) = ledger.at(E::StatementEngines, Q::Resident, t.databases) else { return };
+    let mut total = worked.clone();
+    let parts = [
+        (E::IdleSessions, t.connections_per_gateway()),
+        (E::StartClasses, t.classes),
+        (E::StartTenants, t.tenants),
+    ];
+    for (experiment, count) in parts {
+        let Some(each) = ledger.slope(experiment, Q::Resident) else { continue };
+        total = total.plus(&each.times(count));
+    }
+    let by = "sessions/src/table.rs, gateway/src/net/pools.rs, src/policy.rs";
+    let what = "resident with all sessions, classes, tenants and connections";
+    ledger.add(Role::Gateway, mb(Case::Ordinary, what, t.gateway_memory_mb, by), total.times(to_mb));
+}
+
+/// The log and the figures.
+fn volume(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let rate = t.statements_per_gateway();
+    let log =
+        |what: &str| entry(Resource::Messages, Case::Ordinary, what, "bytes/s").by("gateway/src/main.rs");
+    if let Some(info) = ledger.at(E::StatementEngines, Q::LogBytes, t.databases) {
+        ledger.add(Role::Gateway, log("the log of statements"), info.times(rate));
+    }
+    if let Some(debug) = ledger.at(E::StatementEngines, Q::DebugLogBytes, t.databases) {
+        ledger.add(Role::Gateway, log("the log of statements, at debug"), debug.times(rate));
+    }
+    if let Some(metrics) = ledger.at(E::StartClasses, Q::MetricsBytes, t.classes) {
+        let each =
+            entry(Resource::Messages, Case::Ordinary, "all figures, each time they are fetched", "bytes");
+        ledger.add(Role::Gateway, each.by("gateway/src/metrics.rs"), metrics);
+    }
+}
--- /dev/null
+++ b/lab/src/capacity/stand_ins.rs
@@ -0,0 +1,275 @@
+//! Stand-ins for engines and the coordinator, written from the public protocol.
+
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use wrenhatch::net::poll::{Interest, Poll, Told};
+
+use super::error::CapacityError;
+
+/// What is read from a connection at a time.
+const CHUNK: usize = 4_096;
+/// How often the engines look whether they are to end.
+const LOOK: Duration = Duration::from_millis(50);
+/// Keys of connections; those below are listeners'.
+const CONNECTION: u64 = 1 << 32;
+/// The one row that a query gets, on its only page.
+const ROW: &[u8] = b"HTTP/1.1 200 OK\r\nPage-Count: 1\r\nX-Meter: queue:0\r\nContent-Length: 2\r\n\r\n1\n";
+/// The answer to a query that is given up.
+const GIVEN_UP: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+/// For reading only: answers are short and fit the socket's buffer.
+const READABLE: Interest = Interest { read: true, write: false };
+
+/// What engines have seen, all together.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    connections: Arc<AtomicU64>,
+    queries: Arc<AtomicU64>,
+}
+
+impl Seen {
+    /// Connections accepted.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::SeqCst)
+    }
+
+    /// Queries answered.
+    pub fn queries(&self) -> u64 {
+        self.queries.load(Ordering::SeqCst)
+    }
+}
+
+/// Engines that answer each query at once, served by one thread.
+pub struct Engines {
+    /// Where each listens.
+    pub addresses: Vec<SocketAddr>,
+    /// What they have seen.
+    pub seen: Seen,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Engines {
+    /// Starts so many.
+    ///
+    /// # Errors
+    /// No descriptors, or no ports.
+    pub fn start(count: usize) -> Result<Self, CapacityError> {
+        let listeners: Vec<TcpListener> =
+            (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
+        let addresses = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
+        let poll = Poll::new()?;
+        for (key, listener) in listeners.iter().enumerate() {
+            listener.set_nonblocking(true)?;
+            poll.add(listener, key as u64, READABLE, Told::Always)?;
+        }
+        let (seen, stop) = (Seen::default(), Arc::<AtomicBool>::default());
+        let mut crowd =
+            Crowd { poll, listeners, connections: Vec::new(), free: Vec::new(), seen: seen.clone() };
+        let ends = stop.clone();
+        let thread = thread::spawn(move || while !ends.load(Ordering::SeqCst) && crowd.turn().is_ok() {});
+        Ok(Self { addresses, seen, stop, thread: Some(thread) })
+    }
+}
+
+impl Drop for Engines {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A connection and what of its next call has come.
+struct Connection {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+struct Crowd {
+    poll: Poll,
+    listeners: Vec<TcpListener>,
+    connections: Vec<Option<Connection>>,
+    free: Vec<usize>,
+    seen: Seen,
+}
+
+impl Crowd {
+    fn turn(&mut self) -> io::Result<()> {
+        let mut ready = Vec::new();
+        self.poll.wait(Some(LOOK), &mut ready)?;
+        for (key, _) in ready {
+            if key < CONNECTION {
+                self.accept(key as usize);
+            } else {
+                self.read((key - CONNECTION) as usize);
+            }
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, listener: usize) {
+        while let Ok((stream, _)) = self.listeners[listener].accept() {
+            let at = self.free.pop().unwrap_or_else(|| {
+                self.connections.push(None);
+                self.connections.len() - 1
+            });
+            let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+            let key = CONNECTION + at as u64;
+            if ready.and_then(|()| self.poll.add(&stream, key, READABLE, Told::Always)).is_err() {
+                self.free.push(at);
+                continue;
+            }
+            self.connections[at] = Some(Connection { stream, input: Vec::new() });
+            self.seen.connections.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    fn read(&mut self, at: usize) {
+        let Some(connection) = &mut self.connections[at] else { return };
+        if connection.serve(&self.seen).is_ok() {
+            return;
+        }
+        if let Some(ended) = self.connections[at].take() {
+            self.poll.remove(&ended.stream);
+        }
+        self.free.push(at);
+    }
+}
+
+impl Connection {
+    /// Reads what has come and answers each call that is whole; an error once it has ended.
+    fn serve(&mut self, seen: &Seen) -> io::Result<()> {
+        let mut chunk = [0; CHUNK];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                Ok(n) => self.input.extend(&chunk[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+            while let Some(length) = call_length(&self.input) {
+                let query = self.input.starts_with(b"POST");
+                self.stream.write_all(if query { ROW } else { GIVEN_UP })?;
+                seen.queries.fetch_add(u64::from(query), Ordering::SeqCst);
+                self.input.drain(..length);
+            }
+        }
+    }
+}
+
+/// The bytes of the first call, head and body, once it is whole.
+fn call_length(input: &[u8]) -> Option<usize> {
+    let head = input.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let text = std::str::from_utf8(&input[..head]).ok()?;
+    let length = text.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse::<usize>().ok())?
+    });
+    let whole = head + length.unwrap_or(0);
+    (input.len() >= whole).then_some(whole)
+}
+
+/// How long a gateway is waited for.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Between two comments on a stream.
+const COMMENTS: Duration = Duration::from_secs(1);
+
+/// The coordinator: one gateway's stream, on which a script says what comes and when.
+pub struct Coordinator {
+    listener: TcpListener,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Coordinator {
+    /// Listens.
+    ///
+    /// # Errors
+    /// No descriptor, or no port.
+    pub fn listen() -> Result<Self, CapacityError> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address })
+    }
+
+    /// Takes in the gateway's stream.
+    ///
+    /// # Errors
+    /// None comes.
+    pub fn watch(&self) -> Result<Stream, CapacityError> {
+        let stream = self.accept()?;
+        stream.set_nonblocking(false)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let mut line = String::new();
+        while reader.read_line(&mut line)? > 2 {
+            line.clear();
+        }
+        let (say, events) = channel();
+        thread::spawn(move || tell(stream, &events));
+        Ok(Stream { say })
+    }
+
+    fn accept(&self) -> Result<TcpStream, CapacityError> {
+        let began = Instant::now();
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => return Ok(stream),
+                Err(e) if e.kind() != ErrorKind::WouldBlock => return Err(e.into()),
+                Err(_) if began.elapsed() > PATIENCE => {
+                    return Err(CapacityError::Peer("the gateway opens no stream".to_owned()));
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    }
+}
+
+/// Writes what is to be said, and a comment each second, until the gateway or the script ends.
+fn tell(mut stream: TcpStream, events: &Receiver<Vec<u8>>) {
+    let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_vec();
+    let mut next = head;
+    let mut comment = Instant::now();
+    while stream.write_all(&next).is_ok() {
+        let left = (comment + COMMENTS).saturating_duration_since(Instant::now());
+        next = match events.recv_timeout(left) {
+            Ok(event) => event,
+            Err(RecvTimeoutError::Timeout) => {
+                comment = Instant::now();
+                COMMENT.to_vec()
+            }
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+    }
+}
+
+/// The comment of each second.
+pub const COMMENT: &[u8] = b": here\n\n";
+
+/// A gateway's stream.
+pub struct Stream {
+    say: Sender<Vec<u8>>,
+}
+
+impl Stream {
+    /// Tells an event; how many bytes that takes on the stream.
+    ///
+    /// # Errors
+    /// The gateway has ended its stream.
+    pub fn event(&self, index: u64, event: &serde_json::Value) -> Result<usize, CapacityError> {
+        let bytes = format!("id: {index}\ndata: {event}\n\n").into_bytes();
+        let length = bytes.len();
+        let ended = |_| CapacityError::Peer("the gateway has ended its stream".to_owned());
+        self.say.send(bytes).map_err(ended)?;
+        Ok(length)
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Experiments on the gateway, as a library for their tests.
+
+pub mod capacity;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -40,6 +40,8 @@
     Classes(classes::Options),
     /// What a fleet does to its engines, from its gateways' logs at debug.
     Engines(engines::Options),
+    /// What the gateway costs by size, and the page that holds it against a target.
+    Capacity(wrenhatch_lab::capacity::Options),
     /// Opens and holds sessions for `idle`, by commands on its standard input.
     #[command(hide = true)]
     Helper {
@@ -76,6 +78,7 @@
         Command::Idle(options) => idle::run(&options),
         Command::Classes(options) => classes::run(&options),
         Command::Engines(options) => engines::run(&options),
+        Command::Capacity(options) => Ok(wrenhatch_lab::capacity::run(&options)?),
         Command::Helper { address, source, front, connections } => {
             helper::run(address, source, front, connections)
         }
--- /dev/null
+++ b/lab/tests/capacity.rs
@@ -0,0 +1,310 @@
+//! The fit, the target's file, the bounds and the page of `wrenhatch-lab capacity`, without processes.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use wrenhatch_lab::capacity::bounds::{Bound, Limits, Usage};
+use wrenhatch_lab::capacity::decisions::Decisions;
+use wrenhatch_lab::capacity::error::CapacityError;
+use wrenhatch_lab::capacity::experiments::fell_behind;
+use wrenhatch_lab::capacity::fit::{Point, fit};
+use wrenhatch_lab::capacity::hollow::Hollow;
+use wrenhatch_lab::capacity::page::page;
+use wrenhatch_lab::capacity::reckon::{Ledger, Ratio, Role, number};
+use wrenhatch_lab::capacity::slopes::{Experiment, Mark, Measured, Quantity, Slopes};
+use wrenhatch_lab::capacity::target::Target;
+
+fn docs(file: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs").join(file)
+}
+
+fn target_text() -> String {
+    std::fs::read_to_string(docs("capacity/target.toml")).unwrap()
+}
+
+/// Plays of a function of size, each off by these.
+fn plays(sizes: &[f64], off: [f64; 3], value: impl Fn(f64) -> f64) -> Vec<Point> {
+    let point = |size: &f64| Point { size: *size, plays: off.iter().map(|off| value(*size) + off).collect() };
+    sizes.iter().map(point).collect()
+}
+
+const SIZES: [f64; 4] = [10.0, 20.0, 40.0, 80.0];
+
+#[test]
+fn a_line_is_found_with_its_error() {
+    let fit = fit(&plays(&SIZES, [-1.0, 0.0, 1.0], |size| 5.0 + 2.0 * size)).unwrap();
+    assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.intercept - 5.0).abs() < 1e-9, "{fit:?}");
+    assert!((fit.noise - 1.0).abs() < 1e-9 && fit.misfit < 1e-6 && fit.linear, "{fit:?}");
+    // By hand: the sum of squares is 8 over 10 degrees of freedom, and the sizes' 3 times 2,875.
+    assert!((fit.slope_error - (0.8_f64 / 8_625.0).sqrt()).abs() < 1e-9, "{fit:?}");
+}
+
+#[test]
+fn growth_by_the_square_is_not_linear() {
+    let fit = fit(&plays(&SIZES, [-1.0, 0.0, 1.0], |size| size * size)).unwrap();
+    assert!(!fit.linear, "{fit:?}");
+    assert!((fit.first_slope - 30.0).abs() < 1e-9 && (fit.last_slope - 120.0).abs() < 1e-9, "{fit:?}");
+}
+
+#[test]
+fn plays_that_spread_widely_prove_no_bend() {
+    let fit = fit(&plays(&SIZES, [-900.0, 0.0, 900.0], |size| size * size)).unwrap();
+    assert!(fit.linear, "{fit:?}");
+}
+
+#[test]
+fn too_few_sizes_or_no_plays_give_no_line() {
+    assert_eq!(fit(&plays(&SIZES[..2], [0.0; 3], |size| size)), None);
+    let mut points = plays(&SIZES, [0.0; 3], |size| size);
+    points[1].plays.clear();
+    assert_eq!(fit(&points), None);
+}
+
+fn measured(points: Vec<Point>) -> Measured {
+    Measured::new(Experiment::StatementEngines, Quantity::Cpu, points, Vec::new(), "a command")
+}
+
+#[test]
+fn a_size_that_was_played_has_its_middle_play_and_others_are_reckoned() {
+    let line = measured(plays(&SIZES, [-1.0, 0.0, 4.0], |size| 5.0 + 2.0 * size));
+    let at = line.at(40.0).unwrap();
+    assert_eq!((at.value, at.spread, at.mark), (85.0, 2.5, Mark::Measured));
+    let at = line.at(100.0).unwrap();
+    assert!((at.value - 206.0).abs() < 1e-9 && at.mark == Mark::Reckoned, "{at:?}");
+}
+
+#[test]
+fn where_growth_bends_the_two_nearest_sizes_tell() {
+    let bent = measured(plays(&SIZES, [0.0; 3], |size| size * size));
+    let value = |size: f64| bent.at(size).unwrap().value;
+    assert!((value(30.0) - 1_000.0).abs() < 1e-9);
+    assert!((value(90.0) - (6_400.0 + 10.0 * 120.0)).abs() < 1e-9);
+    assert!((value(5.0) - (100.0 - 5.0 * 30.0)).abs() < 1e-9);
+}
+
+#[test]
+fn the_target_has_the_operators_figures() {
+    let t = Target::parse("t", &target_text()).unwrap();
+    assert_eq!((t.gateways, t.databases, t.pairs()), (550.0, 810.0, 445_500.0));
+    assert_eq!(t.connections_per_gateway(), 3_455.0);
+    assert_eq!(t.statements_per_gateway().round(), 2_364.0);
+    assert_eq!((t.control_core_percent, t.control_memory_mb, t.control_bytes_per_s), (2.3, 64.0, 18_000.0));
+}
+
+/// The message for a target in which something is put in place of something else.
+fn mistake(from: &str, to: &str) -> String {
+    let text = target_text();
+    assert!(text.contains(from), "{from}");
+    Target::parse("size.toml", &text.replacen(from, to, 1)).unwrap_err().to_string()
+}
+
+fn line_of(text: &str) -> usize {
+    1 + target_text().lines().position(|line| line.contains(text)).unwrap()
+}
+
+#[test]
+fn mistakes_in_a_target_name_file_line_and_key() {
+    let cases = [
+        ("databases = 810", "databases = 0", "databases: 0 is not within 1 and 1000000"),
+        ("databases = 810", "databases = -3", "databases: -3 is not within 1 and 1000000"),
+        ("databases = 810", "databases = 99_000_000", "databases: 99000000 is not within 1 and 1000000"),
+        ("databases = 810", "databases = 81.5", "databases: "),
+        ("databases = 810", "databases = \"many\"", "databases: "),
+        ("databases = 810", "database = 810", "database: unknown field `database`"),
+        ("primary_within_s = 7", "primary_within_s = nan", "primary_within_s: NaN is not within"),
+        ("primary_within_s = 7", "primary_within_s = inf", "primary_within_s: inf is not within"),
+        ("primary_within_s = 7", "primary_within_s = 1e9", "primary_within_s: 1000000000 is not within"),
+        (
+            "gateway_core_percent = 2.3",
+            "gateway_core_percent = -2.3",
+            "gateway_core_percent: -2.3 is not within",
+        ),
+        ("zones = 5", "zones = 1", "zones: 1 zones are fewer than 2 regions"),
+        (
+            "connections = 1_900_000",
+            "connections = 3",
+            "connections: 3 connections are fewer than 550 gateways",
+        ),
+    ];
+    for (from, to, message) in cases {
+        let told = mistake(from, to);
+        let start = format!("size.toml:{}: {message}", line_of(from));
+        assert!(told.starts_with(&start), "{told} does not start with {start}");
+    }
+}
+
+#[test]
+fn a_key_that_is_missing_or_there_twice_is_named() {
+    assert!(mistake("regions = 2\n", "").contains("missing field `regions`"));
+    assert!(mistake("regions = 2\n", "regions = 2\nregions = 3\n").contains("duplicate key"));
+    assert!(mistake("[gateway]", "[gateways]").contains("unknown field `gateways`"));
+}
+
+#[test]
+fn a_run_that_outgrows_a_bound_is_stopped_and_says_which() {
+    let limits = Limits { memory_mb: 100, processes: 10, seconds: 5 };
+    let within = Usage { memory_mb: 100, processes: 10, seconds: 5 };
+    assert!(limits.check(within).is_ok());
+    let cases = [
+        (
+            Usage { memory_mb: 101, ..within },
+            Bound::Memory,
+            "stopped: 101 MB of memory are over the bound of 100",
+        ),
+        (
+            Usage { processes: 11, ..within },
+            Bound::Processes,
+            "stopped: 11 processes and threads are over the bound of 10",
+        ),
+        (Usage { seconds: 6, ..within }, Bound::Time, "stopped: 6 seconds are over the bound of 5"),
+    ];
+    for (usage, expected, message) in cases {
+        let error = limits.check(usage).unwrap_err();
+        assert!(matches!(&error, CapacityError::Outgrown { bound, .. } if *bound == expected), "{error}");
+        assert_eq!(error.to_string(), message);
+    }
+}
+
+#[test]
+fn a_run_behind_its_schedule_is_unusable() {
+    let ms = Duration::from_millis;
+    assert_eq!(fell_behind(ms(1_000), ms(1_000)), None);
+    assert_eq!(fell_behind(ms(1_100), ms(1_000)), None);
+    let why = fell_behind(ms(1_101), ms(1_000)).unwrap();
+    assert_eq!(why, "fell behind its schedule: 1101 ms for 1000 ms");
+}
+
+/// Slopes of round figures for all that the page is made from.
+fn round_slopes() -> Slopes {
+    let mut slopes = Slopes::default();
+    let engines = [100.0, 200.0, 400.0, 810.0];
+    let by = |sizes: &[f64], slope: f64| plays(sizes, [0.0; 3], |size| slope * size);
+    let mut add = |experiment, quantity, points| {
+        let others = slopes.measured.iter().filter(|m| m.experiment == experiment).cloned();
+        let mut all: Vec<Measured> = others.collect();
+        all.push(Measured::new(experiment, quantity, points, Vec::new(), "a command"));
+        slopes.replace(experiment, all);
+    };
+    add(Experiment::StatementEngines, Quantity::Cpu, by(&engines, 1.0));
+    add(Experiment::StatementEngines, Quantity::Connections, by(&engines, 1.0));
+    add(Experiment::ChangeEngines, Quantity::Cpu, by(&engines, 1.0));
+    add(Experiment::ListEngines, Quantity::StreamBytes, by(&engines, 100.0));
+    add(Experiment::StartEngines, Quantity::Cpu, by(&engines, 100.0));
+    add(Experiment::IdleSessions, Quantity::Cpu, plays(&[1.0, 2.0, 3_455.0], [0.0; 3], |_| 100.0));
+    slopes
+}
+
+#[test]
+fn needs_are_reckoned_from_slopes_and_target() {
+    let (target, slopes) = (Target::parse("t", &target_text()).unwrap(), round_slopes());
+    let ledger = Ledger::new(&target, &slopes);
+    let need = |what: &str| ledger.needs.iter().find(|n| n.what.contains(what)).unwrap();
+    // 2,363.6 statements of 810 us.
+    let statements = need("statements, few open at once");
+    assert!((statements.amount.value - 1.914_545).abs() < 1e-5, "{statements:?}");
+    assert!(matches!(statements.ratio(), Ratio::Of(ratio) if (ratio - 1.914_545).abs() < 1e-5));
+    // 162 changes of 810 us within 11 s.
+    let zone = need("all 162 databases of a zone change");
+    assert!((zone.amount.value - 100.0 * 162.0 * 810e-6 / 11.0).abs() < 1e-9, "{zone:?}");
+    // A start of 81 ms and 3,455 sessions of 100 us, 3,100 times a day.
+    let configuration = need("changes of classes");
+    assert_eq!(configuration.ratio(), Ratio::None);
+    let share = 100.0 * 3_100.0 * (0.081 + 0.3455) / 86_400.0;
+    let missing = ledger.missing();
+    let wanted = |n: &&&wrenhatch_lab::capacity::reckon::Need| n.what.contains("changes of classes");
+    let found = missing.iter().find(wanted).unwrap();
+    let wrenhatch_lab::capacity::reckon::Carrier::Nothing(instead) = &found.carrier else {
+        panic!("something carries it")
+    };
+    assert!((instead.ratio.unwrap() - share / 2.3).abs() < 1e-9);
+    // 7 machines, 3 of them when a region is gone.
+    let streams: Vec<f64> =
+        ledger.of(Role::Control).filter(|n| n.what.starts_with("streams")).map(|n| n.amount.value).collect();
+    assert_eq!(streams, [79.0, 110.0, 184.0]);
+}
+
+#[test]
+fn what_has_no_mechanism_comes_before_what_passes_its_limit() {
+    let (target, slopes) = (Target::parse("t", &target_text()).unwrap(), round_slopes());
+    let ledger = Ledger::new(&target, &slopes);
+    let missing = ledger.missing();
+    let none = missing.iter().take_while(|n| n.ratio() == Ratio::None).count();
+    assert!(
+        none > 0 && missing[none..].iter().all(|n| matches!(n.ratio(), Ratio::Of(ratio) if ratio >= 0.5))
+    );
+}
+
+#[test]
+fn what_no_play_has_given_is_named() {
+    let (target, slopes) = (Target::parse("t", &target_text()).unwrap(), Slopes::default());
+    let text = page(&target, &slopes, &Hollow::default());
+    assert!(text.contains("- statement-engines cpu: no play has given it yet"), "{text}");
+}
+
+#[test]
+fn figures_of_hollow_runs_are_taken_in() {
+    let text = r#"{"figures":[{"role":"database","quantity":"handshakes","event":"zone gone","value":1234.0,
+        "unit":"a second","mark":"hollow","command":"wrenhatch-lab hollow"}]}"#;
+    let hollow: Hollow = serde_json::from_str(text).unwrap();
+    let target = Target::parse("t", &target_text()).unwrap();
+    let text = page(&target, &Slopes::default(), &hollow);
+    assert!(
+        text.contains("| zone gone | handshakes | 1,234 a second | hollow | `wrenhatch-lab hollow` |"),
+        "{text}"
+    );
+}
+
+#[test]
+fn the_page_is_what_its_inputs_give() {
+    let target = Target::read(&docs("capacity/target.toml")).unwrap();
+    let slopes = Slopes::read(&docs("capacity/slopes.json")).unwrap();
+    let hollow = Hollow::read(&docs("capacity/hollow.json")).unwrap();
+    let present = std::fs::read_to_string(docs("CAPACITY.md")).unwrap();
+    let made = page(&target, &slopes, &hollow);
+    let differs = present.lines().zip(made.lines()).find(|(a, b)| a != b);
+    assert!(present == made, "run `wrenhatch-lab capacity page`; first difference: {differs:?}");
+}
+
+#[test]
+fn the_lines_of_the_file_are_those_of_its_plays() {
+    let slopes = Slopes::read(&docs("capacity/slopes.json")).unwrap();
+    for m in slopes.measured {
+        let fresh = fit(&m.points);
+        let agrees = match (fresh, m.fit) {
+            (Some(a), Some(b)) => {
+                (a.slope - b.slope).abs() <= 1e-9 * a.slope.abs().max(1e-9) && a.linear == b.linear
+            }
+            (a, b) => a.is_none() && b.is_none(),
+        };
+        assert!(agrees, "{}: {fresh:?} is not {:?}", m.name(), m.fit);
+    }
+}
+
+#[test]
+fn numbers_have_three_digits_and_their_thousands_apart() {
+    let cases = [
+        (0.0, "0"),
+        (0.01234, "0.0123"),
+        (0.1234, "0.123"),
+        (1.234, "1.23"),
+        (12.34, "12.3"),
+        (16.0, "16"),
+        (1_234.5, "1,234"),
+        (1_705_000.0, "1,705,000"),
+        (-1_234.0, "-1,234"),
+    ];
+    for (value, text) in cases {
+        assert_eq!(number(value), text);
+    }
+}
+
+#[test]
+fn a_closed_loop_in_memory_is_served_whole() {
+    let mut decisions = Decisions::new(8, 4).unwrap();
+    decisions.statements(200);
+    decisions.changes(10);
+    decisions.lists(3);
+    decisions.looks(5);
+    assert!(decisions.served >= 200, "{}", decisions.served);
+    assert_eq!(decisions.unserved, 0);
+}
--- /dev/null
+++ b/lab/tests/capacity_process.rs
@@ -0,0 +1,101 @@
+//! Small plays of `wrenhatch-lab capacity` through a real process on loopback. Counts are held to, times are not.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use wrenhatch_lab::capacity::bounds::{Guard, Limits};
+use wrenhatch_lab::capacity::error::CapacityError;
+use wrenhatch_lab::capacity::experiments::{Bench, Effort, MOST, Play};
+use wrenhatch_lab::capacity::process::Gateway;
+use wrenhatch_lab::capacity::sessions::{Session, closed_loop};
+use wrenhatch_lab::capacity::site::Site;
+use wrenhatch_lab::capacity::slopes::{Experiment, Quantity};
+use wrenhatch_lab::capacity::stand_ins::{Coordinator, Engines};
+
+/// The gateway's program, beside the tests'. It is built here where the tests of this package run alone.
+fn program() -> PathBuf {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    let build = || {
+        let arguments = ["build", "--locked", "--workspace", "--bin", "wrenhatch"];
+        assert!(Command::new(env!("CARGO")).args(arguments).status().unwrap().success());
+        std::env::current_exe().unwrap().parent().unwrap().join("../wrenhatch")
+    };
+    BUILT.get_or_init(build).clone()
+}
+
+fn bench(limits: Limits) -> Bench {
+    let effort = Effort {
+        decided: 40,
+        statements: 40,
+        logged: 4,
+        changes: 6,
+        lists: 2,
+        idle: Duration::from_millis(10),
+    };
+    Bench { program: program(), effort, guard: Guard::new(limits) }
+}
+
+fn figure(play: &Play, quantity: Quantity) -> f64 {
+    play.figures.iter().find(|(q, _)| *q == quantity).unwrap().1
+}
+
+#[test]
+fn a_closed_loop_is_served_whole_over_connections_to_each_engine() {
+    let engines = Engines::start(3).unwrap();
+    let site = Site::new(engines.addresses.clone());
+    let gateway = Gateway::start(&program(), &site, "info").unwrap();
+    let mut sessions = Session::open_all(gateway.listen, 2).unwrap();
+    let tally = closed_loop(&mut sessions, 60).unwrap();
+    assert_eq!((tally.served, tally.unserved, tally.latencies.len()), (60, 0, 60));
+    assert_eq!(engines.seen.queries(), 60);
+    assert_eq!(gateway.counter("served").unwrap(), 60);
+    assert_eq!(gateway.counter("engine_connects").unwrap(), engines.seen.connections());
+}
+
+#[test]
+fn the_coordinator_tells_and_the_gateway_takes_each_event() {
+    let engines = Engines::start(4).unwrap();
+    let coordinator = Coordinator::listen().unwrap();
+    let site = Site { coordinator: Some(coordinator.address), ..Site::new(engines.addresses.clone()) };
+    let gateway = Gateway::start(&program(), &site, "info").unwrap();
+    let before = gateway.counter("list_events").unwrap();
+    let stream = coordinator.watch().unwrap();
+    let change = site.event(2, false, vec![site.entry(1, "Terminating")]);
+    let bytes = stream.event(2, &change).unwrap();
+    assert!(bytes > change.to_string().len());
+    stream.event(3, &site.whole_list(3)).unwrap();
+    // It prints its counters until it has read both.
+    let taken = || gateway.counter("list_events").unwrap() - before;
+    assert!((0..1_000).any(|_| taken() == 2), "{} of 2", taken());
+}
+
+#[test]
+fn small_plays_give_their_counts() {
+    let bench = bench(Limits::default());
+    let play = bench.play(Experiment::StatementEngines, 3).unwrap();
+    assert_eq!(play.unusable, None);
+    assert!(figure(&play, Quantity::Connections) >= 3.0);
+    assert!(figure(&play, Quantity::DebugLogBytes) > 0.0);
+    let play = bench.play(Experiment::IdleSessions, 20).unwrap();
+    assert!(figure(&play, Quantity::Descriptors) >= 20.0);
+    let play = bench.play(Experiment::ChangeEngines, 3).unwrap();
+    assert!(figure(&play, Quantity::StreamBytes) > 100.0);
+    let few = bench.play(Experiment::StartTenants, 1).unwrap();
+    let many = bench.play(Experiment::StartTenants, 100).unwrap();
+    assert!(figure(&many, Quantity::FileBytes) > figure(&few, Quantity::FileBytes));
+}
+
+#[test]
+fn a_size_that_can_t_be_played_is_turned_down() {
+    let error = bench(Limits::default()).play(Experiment::StatementEngines, MOST + 1).unwrap_err();
+    assert!(matches!(error, CapacityError::Size { .. }), "{error}");
+}
+
+#[test]
+fn a_run_over_its_bound_is_stopped() {
+    let bench = bench(Limits { memory_mb: 0, ..Limits::default() });
+    let error = bench.run(Experiment::StartEngines, &[2], 1, "a command").unwrap_err();
+    assert!(matches!(error, CapacityError::Outgrown { .. }), "{error}");
+}
