Play engines, open requests and idle sessions together, to hold the sum of slopes against

The page adds slopes that were each measured with few of all else. An experiment of which no play can be used says why instead of leaving nothing, and sizes are played once and in order, from 1 on.

--- a/lab/src/capacity/error.rs
+++ b/lab/src/capacity/error.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use super::bounds::Bound;
+use super::slopes::Experiment;
 use super::target::Mistake;
 
 /// Why a measurement or a page was not made.
@@ -51,13 +52,21 @@
     #[error("{0} differs from what its inputs give: run `wrenhatch-lab capacity page`")]
     Stale(PathBuf),
     /// A size that can't be played.
-    #[error("size {size} is over {most}, the most that is played")]
+    #[error("size {size} is not within 1 and {most}")]
     Size {
         /// The size.
         size: usize,
         /// The most.
         most: usize,
     },
+    /// Not a single play gave figures that can be used.
+    #[error("unusable: no play of {experiment} gave figures: {}", .why.join("; "))]
+    Unusable {
+        /// Of which experiment.
+        experiment: Experiment,
+        /// Why, for each play.
+        why: Vec<String>,
+    },
     /// The system refuses.
     #[error("{0}")]
     Io(#[from] io::Error),
--- a/lab/src/capacity/experiments.rs
+++ b/lab/src/capacity/experiments.rs
@@ -15,6 +15,8 @@
 
 /// Requests that are open, and sessions that ask, where that is not what is varied.
 const OPEN: usize = 16;
+/// Sessions that ask, and idle ones, where both are as many as at the operators' size.
+const TOGETHER: (usize, usize) = (64, 3_455);
 /// Engines where these are not what is varied.
 const ENGINES: usize = 80;
 /// The largest size of any experiment: with a descriptor for each engine and session.
@@ -100,6 +102,7 @@
             | E::DecideChangeEngines
             | E::DecideListEngines
             | E::StatementEngines
+            | E::StatementTogether
             | E::ChangeEngines
             | E::ListEngines
             | E::ReloadEngines
@@ -128,6 +131,9 @@
             E::StatementSessions => {
                 "80 engines of 5 zones, closed loop of 16 sessions beside the idle ones, after one of 64"
             }
+            E::StatementTogether => {
+                "closed loop of 64 sessions beside 3,455 idle ones; engines of 5 zones that answer at once"
+            }
             E::ChangeEngines | E::ListEngines | E::IdleEngines => "no clients",
             E::ReloadEngines | E::StartEngines => "3 classes, 1 tenant, no clients",
             E::ReloadClasses | E::StartClasses => "80 engines, 1 tenant, no clients",
@@ -194,7 +200,7 @@
     /// A bound is passed, or the gateway does not do what is waited for.
     pub fn play(&self, experiment: Experiment, size: usize) -> Result<Play, CapacityError> {
         use Experiment as E;
-        if size > MOST {
+        if !(1..=MOST).contains(&size) {
             return Err(CapacityError::Size { size, most: MOST });
         }
         match experiment {
@@ -206,6 +212,7 @@
             E::StatementEngines => self.statements(size, OPEN, 0),
             E::StatementOpen => self.statements(ENGINES, size, 0),
             E::StatementSessions => self.statements(ENGINES, OPEN, size),
+            E::StatementTogether => self.statements(size, TOGETHER.0, TOGETHER.1),
             E::ChangeEngines => self.changes(size),
             E::ListEngines => self.lists(size),
             E::ReloadEngines => self.reloads(Site::new(Engines::start(size)?.addresses.clone())),
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -114,8 +114,12 @@
     };
     let bench = Bench { program, effort: Effort::default(), guard: Guard::new(options.limits) };
     for experiment in &options.experiments {
-        let sizes = if options.sizes.is_empty() { experiment.sizes() } else { &options.sizes };
-        let measured = bench.run(*experiment, sizes, options.plays.max(1), &command(*experiment))?;
+        let measured = bench.run(
+            *experiment,
+            &sizes(options, *experiment),
+            options.plays.max(1),
+            &command(*experiment),
+        )?;
         measured.iter().for_each(print);
         if let Some(path) = &options.slopes {
             let mut slopes = Slopes::read(path)?;
@@ -127,6 +131,17 @@
     Ok(())
 }
 
+/// The sizes to play, each once and in order.
+fn sizes(options: &MeasureOptions, experiment: Experiment) -> Vec<usize> {
+    if options.sizes.is_empty() {
+        return experiment.sizes().to_vec();
+    }
+    let mut sizes = options.sizes.clone();
+    sizes.sort_unstable();
+    sizes.dedup();
+    sizes
+}
+
 fn command(experiment: Experiment) -> String {
     format!("wrenhatch-lab capacity measure {experiment}")
 }
--- a/lab/src/capacity/page.rs
+++ b/lab/src/capacity/page.rs
@@ -11,7 +11,7 @@
 const NOT_MEASURED: [&str; 11] = [
     "processor time and memory of databases: the engines of the plays answer at once and do no work",
     "processor time of control machines: no program for them is in the repository",
-    "many engines together with many open requests or sessions: each is measured with few of the other, and added",
+    "engines, open requests and idle sessions together, but for one point: each is measured with few of the others, and added",
     "statements beside changes: the two are measured one after the other, and added",
     "classes and tenants in the decisions of a statement: only memory, start and reading the file are measured by them",
     "MySQL clients and engines, and results larger than one row",
--- a/lab/src/capacity/reckon/gateway.rs
+++ b/lab/src/capacity/reckon/gateway.rs
@@ -84,6 +84,11 @@
             more.times(rate),
         );
     }
+    if let Some(together) = ledger.at(E::StatementTogether, Q::Cpu, t.databases) {
+        let what = "to hold against it: 64 open and 3,455 idle, played together";
+        let need = processor(Case::Ordinary, what).limit(cores).by(by);
+        ledger.add(Role::Gateway, need, together.times(rate));
+    }
     let all = processor(Case::Ordinary, "statements, all of it").limit(cores).by(by);
     ledger.add(Role::Gateway, all, total.times(rate));
     if t.zones > 1.0 {
--- a/lab/src/capacity/slopes.rs
+++ b/lab/src/capacity/slopes.rs
@@ -57,6 +57,8 @@
     StatementOpen,
     /// A statement through the process, by sessions that are idle beside.
     StatementSessions,
+    /// A statement through the process, by engines, with many requests open and many sessions idle.
+    StatementTogether,
     /// A change of one engine told by the coordinator, by engines.
     ChangeEngines,
     /// A whole list told by the coordinator, by engines.
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -241,6 +241,16 @@
     assert!(text.contains("- statement-engines cpu: no play has given it yet"), "{text}");
 }
 
+#[test]
+fn unusable_plays_are_named() {
+    let mut slopes = round_slopes();
+    slopes.measured[0].unusable.push("810: fell behind its schedule: 1101 ms for 1000 ms".to_owned());
+    let target = Target::parse("t", &target_text()).unwrap();
+    let text = page(&target, &slopes, &Hollow::default());
+    let line = "a play at 810: fell behind its schedule: 1101 ms for 1000 ms: unusable";
+    assert!(text.contains(line), "{text}");
+}
+
 #[test]
 fn figures_of_hollow_runs_are_taken_in() {
     let text = r#"{"figures":[{"role":"database","quantity":"handshakes","event":"zone gone","value":1234.0,
--- a/lab/tests/capacity_process.rs
+++ b/lab/tests/capacity_process.rs
@@ -89,8 +89,10 @@
 
 #[test]
 fn a_size_that_can_t_be_played_is_turned_down() {
-    let error = bench(Limits::default()).play(Experiment::StatementEngines, MOST + 1).unwrap_err();
-    assert!(matches!(error, CapacityError::Size { .. }), "{error}");
+    for size in [0, MOST + 1] {
+        let error = bench(Limits::default()).play(Experiment::ChangeEngines, size).unwrap_err();
+        assert_eq!(error.to_string(), format!("size {size} is not within 1 and 8000"));
+    }
 }
 
 #[test]
