Fit the capacity tool to keys and leases of the core

The core's requests carry a key and the mark of a retry, and it may ask other processes for leases; the tool's requests have no key, so neither comes up. Tests of the lab pass.

--- a/lab/src/capacity/decisions.rs
+++ b/lab/src/capacity/decisions.rs
@@ -109,6 +109,8 @@
             estimate: Some(0.002),
             need_mb: None,
             group: Some(GroupId(1)),
+            key: None,
+            retry: false,
         };
         Input::Asked(RequestId(self.asked), ask)
     }
@@ -125,7 +127,7 @@
                 }
                 Command::Serve(..) => self.served += 1,
                 Command::Refuse(..) | Command::Fail(_) => self.unserved += 1,
-                Command::Rank { .. } | Command::Stop(..) => {}
+                Command::Rank { .. } | Command::Stop(..) | Command::Claim(..) | Command::Grant(..) => {}
             }
         }
         self.commands = commands;
