Leave requests out of the search for an engine while it is not their key's turn

Need: the module asked every held request for every engine at each event, and only then whether its key was free.

Change: `has_turn` is asked once, before engines are looked for; the key's own class is no longer looked up, as both hosts hand a key over for classes that keep order alone. It still grows with what waits.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -545,7 +545,7 @@
         let work = request.estimate.map_or(*mean, |work| work.min(HEAVY * *mean));
         let size = work / mean.max(1e-6);
         *mean += NEWEST * (work - *mean);
-        if let Some(key) = self.key_of(request) {
+        if let Some(key) = request.key {
             self.keys.entry(key).or_default().order.push_back(request.id);
         }
         // The end is planned at once, whatever becomes of attempts, lists and other timers.
@@ -562,10 +562,6 @@
         fraction(self.rng.next_u32())
     }
 
-    fn key_of(&self, request: &Request) -> Option<KeyId> {
-        request.key.filter(|_| self.s.classes[request.class.0].keep_order)
-    }
-
     /// The final answer to one not served: refused where trying again is harmless, else failed.
     fn give_up(&mut self, id: RequestId, retry_after: Option<f64>, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -591,7 +587,7 @@
         }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.held.remove(&job.place);
-        if let Some(line) = self.key_of(&job.request).and_then(|k| self.keys.get_mut(&k)) {
+        if let Some(line) = job.request.key.and_then(|k| self.keys.get_mut(&k)) {
             line.order.retain(|r| *r != id);
         }
     }
@@ -867,7 +863,8 @@
         // By class and what is borne: the engines that admit it till the next send, the least need unmet.
         let mut admitting: Vec<[Option<Vec<EngineId>>; 2]> = vec![[None, None]; 2 * self.classes.len()];
         let mut full = vec![f64::INFINITY; 2 * self.classes.len()];
-        let held: Vec<RequestId> = self.held.values().copied().collect();
+        let has_turn = |id: &RequestId| self.has_turn(&self.jobs[id].request, now);
+        let held: Vec<RequestId> = self.held.values().copied().filter(has_turn).collect();
         for id in held {
             let job = &self.jobs[&id];
             let (class, need_mb) = (job.request.class, job.request.need_mb.unwrap_or(0.0));
@@ -974,7 +971,15 @@
         self.classes[class.0].dashboard || share <= 0.0 || alone || e.need_mb + need_mb <= share
     }
 
-    /// The rules that bind a send: drain, effect, number and budget of attempts, order of the key.
+    /// Whether it is first of its key, and no attempt of the key is out or might still run.
+    fn has_turn(&self, request: &Request, now: f64) -> bool {
+        let rests = |line: &KeyLine| line.rest.is_some_and(|(until, by)| by != request.id && now < until);
+        let is_free = |line: &KeyLine| line.out == 0 && !rests(line);
+        let line = request.key.and_then(|key| self.keys.get(&key));
+        line.is_none_or(|line| line.order.front() == Some(&request.id) && is_free(line))
+    }
+
+    /// The rules that bind a send: drain, effect, number and budget of attempts.
     fn may_send(&self, job: &Job, engine: EngineId, now: f64) -> bool {
         let e = &self.engines[&engine].entry;
         let first = job.may_have_run.map(|(first, _)| self.engines.get(&first).map(|f| &f.entry));
@@ -991,22 +996,16 @@
                 within(&self.extra, edge - self.s.resolution) + 1.0
                     <= b.floor + b.ratio * within(&self.taken, edge)
             });
-        let has_turn = self.key_of(&job.request).and_then(|k| self.keys.get(&k)).is_none_or(|line| {
-            line.order.front() == Some(&job.request.id)
-                && line.out == 0
-                && line.rest.is_none_or(|(until, id)| id == job.request.id || now >= until)
-        });
         e.state == EngineState::Ready
             && !job.out
             && self.another_may_follow(job, now)
             && in_group
             && in_budget
-            && has_turn
     }
 
     /// The one place where anything is sent.
     fn send(&mut self, now: f64, id: RequestId, engine: EngineId, actions: &mut Vec<Action>) {
-        let key = self.jobs.get(&id).and_then(|job| self.key_of(&job.request));
+        let key = self.jobs.get(&id).and_then(|job| job.request.key);
         let (Some(job), Some(e)) = (self.jobs.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         let class = &self.s.classes[job.request.class.0];
         let view = &self.classes[job.request.class.0];
--- a/src/policy/explain.rs
+++ b/src/policy/explain.rs
@@ -85,6 +85,11 @@
         self.engines.len()
     }
 
+    /// Keys with a request waiting or out, or at rest as of the last look.
+    pub fn keys_in_use(&self) -> usize {
+        self.keys.len()
+    }
+
     /// How many of the listed engines get nothing new: they drain, or pause after silence, errors or being full.
     pub fn engines_avoided(&self, now: f64) -> usize {
         let avoided = |e: &&Engine| match e.entry.state {
