--- a/lab/src/hollow/sockets/run.rs
+++ b/lab/src/hollow/sockets/run.rs
@@ -17,6 +17,8 @@
 const SAMPLE: Duration = Duration::from_secs(1);
 /// How late a step or a comment may be in a phase whose figures are used.
 const MOST_LATE: Duration = Duration::from_millis(250);
+/// Between having been written the list and the end of the start: gateways take it in meanwhile.
+const SETTLE: Duration = Duration::from_secs(2);
 /// How long all gateways may take to have the list.
 const START_PATIENCE: Duration = Duration::from_secs(60);
 /// Between two looks at whether they have.
@@ -192,6 +194,7 @@
         let began = Instant::now();
         self.await_all()?;
         self.gateways.find_threads(self.size.gateways)?;
+        sleep(SETTLE);
         self.last_sample_ns = vec![0; self.size.gateways];
         let sample = self.sample();
         Ok(self.figures(Phase::Start, began.elapsed(), &[sample]))
