Read from the settings whether probes are allowed and bring the reports

Need: `settings` in `config.rs` said that probes are forbidden and that a deployment whose engines report to probes alone has no reports, whatever was configured.

The module asks for no probe, so nothing is probed.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -469,10 +469,10 @@
         },
         allowed: Allowed {
             cancel: allowed.get("cancelling").flag()?,
-            // Engines of this protocol have no call to probe them with.
-            probe: false,
+            probe: allowed.get("probing").flag()?,
             reports: match env.get("report").get("how").text_or_empty()?.as_str() {
-                "none" | "probe" => Reports::None,
+                "none" => Reports::None,
+                "probe" => Reports::Probes,
                 _ => Reports::Answers,
             },
             ask_for_list: false,
--- a/gateway/src/config/tests.rs
+++ b/gateway/src/config/tests.rs
@@ -15,6 +15,18 @@
     assert_eq!((c.known.0, c.known.1.len(), c.known.1[0].full), (1, 1, true));
 }
 
+#[test]
+fn where_reports_come_from_is_read_as_it_stands() {
+    for (how, reports) in [("answers", Reports::Answers), ("probe", Reports::Probes), ("none", Reports::None)]
+    {
+        let change = |text: String| text.replace("\"how\":\"answers\"", &format!("\"how\":\"{how}\""));
+        assert_eq!(try_read(change).unwrap().settings.allowed.reports, reports);
+    }
+    let probing = |text: String| text.replace("\"probing\":false", "\"probing\":true");
+    assert!(try_read(probing).unwrap().settings.allowed.probe);
+    assert!(!try_read(|text| text).unwrap().settings.allowed.probe);
+}
+
 #[test]
 fn a_list_is_read_by_its_good_part() {
     let entry = |n: usize| {
--- a/lab/src/capacity/reckon/gateway.rs
+++ b/lab/src/capacity/reckon/gateway.rs
@@ -274,7 +274,7 @@
         amount: Amount::exact(t.statements_per_gateway() / connections.amount.value),
         ..connections.times(1.0)
     };
-    ledger.add(Role::Gateway, each.by("gateway/src/net/engines.rs"), rate);
+    ledger.add(Role::Gateway, each.by("gateway/src/net/engines/connections.rs"), rate);
 }
 
 /// Memory, for control and in all.
