--- a/gateway/tests/deployments.rs
+++ b/gateway/tests/deployments.rs
@@ -8,6 +8,8 @@
 mod auditor;
 #[path = "deployments/client.rs"]
 mod client;
+#[path = "deployments/coordinator.rs"]
+mod coordinator;
 #[path = "deployments/draw.rs"]
 mod draw;
 #[path = "deployments/engine.rs"]
--- a/gateway/tests/deployments/engine.rs
+++ b/gateway/tests/deployments/engine.rs
@@ -62,15 +62,16 @@
 }
 
 /// A call as it came.
-struct HttpCall {
-    verb: String,
-    path: String,
-    headers: HashMap<String, String>,
+pub struct HttpCall {
+    pub verb: String,
+    pub path: String,
+    pub headers: HashMap<String, String>,
     body: Vec<u8>,
 }
 
 impl HttpCall {
-    fn read(reader: &mut impl BufRead) -> io::Result<Option<Self>> {
+    /// The next one, whole; `None` once the other side has ended.
+    pub fn read(reader: &mut impl BufRead) -> io::Result<Option<Self>> {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
             return Ok(None);
--- a/gateway/tests/deployments/run.rs
+++ b/gateway/tests/deployments/run.rs
@@ -8,7 +8,7 @@
 use crate::auditor::{Breach, Class, Effect, Event, Group, Serial, State, audit};
 use crate::client::Session;
 use crate::common::Gateway;
-use crate::common::script::Peer;
+use crate::coordinator::Coordinator;
 use crate::draw::{Conduct, Deployment, Lane, Opening, Reports, Step};
 use crate::engine::{self, Place};
 use crate::world::{World, locked};
@@ -19,8 +19,6 @@
 const LINGER: Duration = Duration::from_millis(300);
 /// What separates two requests of a key, the first of which came on a new connection.
 const BEHIND_NEW: Duration = Duration::from_millis(250);
-/// A coordinator's comments come in this period.
-const COMMENT: Duration = Duration::from_millis(500);
 
 /// Runs the deployment of a seed and judges it.
 pub fn run(seed: u64) -> Vec<Breach> {
@@ -29,15 +27,12 @@
     let places: Vec<Place> = (deployment.refusing.iter().enumerate())
         .map(|(n, refusing)| if *refusing { engine::refusing() } else { engine::start(n, &world) }.unwrap())
         .collect();
-    let coordinator = Peer::new("coordinator");
+    let coordinator = Coordinator::listen().unwrap();
     let config = config(&deployment, &places, coordinator.address);
     let gateway = Gateway::scripted("", None, "", None, |_| config.clone());
-    let teller = {
-        let (deployment, world) = (deployment.clone(), world.clone());
-        let entry =
-            entry(&deployment, deployment.change.engine, &places, state_name(deployment.change.state));
-        thread::spawn(move || tell(&deployment, &world, &coordinator, &entry))
-    };
+    let change = deployment.change;
+    let entry = entry(&deployment, change.engine, &places, state_name(change.state));
+    coordinator.tell(&world, change, entry);
     let driver = Arc::new(Driver { deployment, world: world.clone(), gateway: Mutex::new(gateway) });
     let lanes: Vec<_> = (driver.deployment.lanes.iter().cloned())
         .map(|lane| {
@@ -48,7 +43,6 @@
     let sessions: Vec<_> = lanes.into_iter().map(|lane| lane.join().unwrap()).collect();
     driver.wait_settled();
     world.end();
-    teller.join().unwrap();
     drop(sessions);
     let breaches = audit(&driver.deployment.terms, &world.entries(), world.allowance());
     driver.show(seed, &breaches);
@@ -167,24 +161,6 @@
     }
 }
 
-/// Plays the coordinator: one change, and comments until all is over.
-fn tell(deployment: &Deployment, world: &World, coordinator: &Peer, entry: &str) {
-    let (mut stream, _) = coordinator.watch();
-    stream.stream();
-    let change = deployment.change;
-    thread::sleep(Duration::from_millis(change.after_ms).saturating_sub(world.since_start()));
-    stream.event(2, entry);
-    world.log(Event::Told(change.engine, change.state));
-    let mut commented = Instant::now();
-    while !world.is_over() {
-        thread::sleep(Duration::from_millis(10));
-        if commented.elapsed() >= COMMENT {
-            stream.try_say(": here\n\n");
-            commented = Instant::now();
-        }
-    }
-}
-
 fn state_name(state: State) -> &'static str {
     match state {
         State::Draining => "Terminating",
