--- a/gateway/tests/deployments/run.rs
+++ b/gateway/tests/deployments/run.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::auditor::{Breach, Class, Effect, Event, Group, Serial, State, audit};
+use crate::auditor::{Breach, Class, Effect, Group, Serial, State, audit};
 use crate::client::Session;
 use crate::common::Gateway;
 use crate::coordinator::Coordinator;
