--- a/gateway/tests/deployments.rs
+++ b/gateway/tests/deployments.rs
@@ -117,16 +117,17 @@
     assert!(steps().any(|step| matches!(step.conduct, Conduct::Leave(_))));
     assert!(steps().any(|step| matches!(step.conduct, Conduct::Cancel(_))));
     let fates: BTreeSet<_> = drawn.iter().flat_map(|d| d.fates.iter().flatten()).map(name_of).collect();
-    assert_eq!(fates.len(), 7, "{fates:?}");
+    assert_eq!(fates.len(), 8, "{fates:?}");
 }
 
 fn name_of(fate: &Fate) -> &'static str {
     match fate {
         Fate::Served { .. } => "served",
-        Fate::Error => "error",
+        Fate::Error { .. } => "error",
         Fate::Shed => "shed",
         Fate::Over => "over",
         Fate::Dies => "dies",
+        Fate::DiesForGood => "dies for good",
         Fate::Reset { .. } => "reset",
         Fate::Silent => "silent",
     }
--- a/gateway/tests/deployments/draw.rs
+++ b/gateway/tests/deployments/draw.rs
@@ -48,14 +48,16 @@
 pub enum Fate {
     /// It is served after so long, on so many pages; meanwhile its engine tells of its progress, or not.
     Served { after_ms: u64, pages: usize, noted: bool },
-    /// Error 500: it may have run.
-    Error,
+    /// Error 500 after so long: it may have run.
+    Error { after_ms: u64 },
     /// 503 with `X-Shed`.
     Shed,
     /// 504 with `X-Shed`.
     Over,
     /// The process dies once the call has come whole, and another is there at once which knows nothing of it.
     Dies,
+    /// The process dies in the same way, and none comes after it. Of a deployment's engines one dies so.
+    DiesForGood,
     /// Its connection is reset once the call has come whole; it runs on for so long.
     Reset { after_ms: u64 },
     /// Nothing more is heard of it, on any connection.
@@ -135,7 +137,8 @@
 const FATES: usize = 3;
 const KEYED_LANES: usize = 2;
 const OTHER_LANES: usize = 4;
-const STEPS: usize = 4;
+const KEYED_STEPS: usize = 6;
+const OTHER_STEPS: usize = 4;
 
 impl Deployment {
     pub fn draw(seed: u64) -> Self {
@@ -192,7 +195,7 @@
     }
 
     fn effect(&mut self) -> Effect {
-        let window = Duration::from_millis(self.random.between(600, 3000));
+        let window = Duration::from_millis(self.random.between(100, 1500));
         match self.random.below(5) {
             0 => Effect::Safe,
             1 => Effect::Keyed { group: Group::All, window },
@@ -213,7 +216,7 @@
                 "load" => Effect::Unsafe,
                 _ => self.effect(),
             },
-            deadline: Duration::from_millis(self.random.between(1200, 2000)),
+            deadline: Duration::from_millis(self.random.between(1800, 2800)),
         };
         names.iter().enumerate().map(class).collect()
     }
@@ -232,9 +235,10 @@
     fn keyed_lane(&mut self, classes: &[Class], class: usize) -> Lane {
         let key = format!("{:016x}", self.random.next());
         let mut steps = Vec::new();
-        for _ in 0..STEPS {
+        for _ in 0..KEYED_STEPS {
             let request = self.request(classes, class, Some(&key), None);
-            let opening = self.random.one_of(&[Opening::Fresh, Opening::Fresh, Opening::WithStart]);
+            let opening =
+                self.random.one_of(&[Opening::Fresh, Opening::Fresh, Opening::Fresh, Opening::WithStart]);
             let conduct = self.conduct(15);
             steps.push(Step { pause_ms: 60, requests: vec![request], opening, conduct });
         }
@@ -243,7 +247,7 @@
 
     fn other_lane(&mut self, classes: &[Class]) -> Lane {
         let mut steps = Vec::new();
-        for n in 0..STEPS {
+        for n in 0..OTHER_STEPS {
             let class = self.random.between(KEYED_LANES as u64 - 1, classes.len() as u64 - 1) as usize;
             let mut requests = vec![self.request(classes, class, None, None)];
             if self.random.chance(20) {
@@ -351,13 +355,14 @@
         let (pages, noted) = (self.random.between(1, 3) as usize, self.random.chance(50));
         match self.random.below(100) {
             0..20 if !keyed => Fate::Served { after_ms: 0, pages, noted },
-            20..58 => Fate::Served { after_ms, pages, noted },
-            58..66 => Fate::Error,
+            20..56 => Fate::Served { after_ms, pages, noted },
+            56..66 => Fate::Error { after_ms: if noted { 0 } else { after_ms } },
             66..76 => Fate::Shed,
             76..78 => Fate::Over,
-            78..86 => Fate::Dies,
-            86..93 => Fate::Reset { after_ms },
-            93..100 => Fate::Silent,
+            78..84 => Fate::Dies,
+            84..87 => Fate::DiesForGood,
+            87..94 => Fate::Reset { after_ms },
+            94..100 => Fate::Silent,
             _ => Fate::Served { after_ms: 100, pages, noted },
         }
     }
--- a/gateway/tests/deployments/engine.rs
+++ b/gateway/tests/deployments/engine.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -24,6 +25,8 @@
     due: Instant,
     silent: bool,
     noted: bool,
+    /// It ends with an error.
+    errs: bool,
     pages: Vec<String>,
 }
 
@@ -31,34 +34,57 @@
     number: EngineNo,
     world: Arc<World>,
     queries: Mutex<HashMap<String, Query>>,
+    address: SocketAddr,
+    streams: Mutex<Vec<TcpStream>>,
+    dead: AtomicBool,
 }
 
-/// Where an engine is. A refusing one holds its address and does not listen.
+/// Where an engine is: its address is held, so that nobody else gets it when it no longer listens.
 pub struct Place {
     pub address: SocketAddr,
-    _held: Option<Socket>,
+    _held: Socket,
+}
+
+fn bound(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
 }
 
 /// Starts an engine.
 pub fn start(number: EngineNo, world: &Arc<World>) -> io::Result<Place> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?;
-    let engine = Arc::new(Engine { number, world: world.clone(), queries: Mutex::default() });
+    let place = refusing()?;
+    let socket = bound(place.address)?;
+    socket.listen(128)?;
+    let listener: TcpListener = socket.into();
+    let engine = Arc::new(Engine {
+        number,
+        world: world.clone(),
+        queries: Mutex::default(),
+        address: place.address,
+        streams: Mutex::default(),
+        dead: AtomicBool::new(false),
+    });
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if engine.dead.load(Ordering::SeqCst) {
+                let _ = reset(&stream);
+                return;
+            }
+            locked(&engine.streams).extend(stream.try_clone());
             let engine = engine.clone();
             thread::spawn(move || drop(engine.serve(stream)));
         }
     });
-    Ok(Place { address, _held: None })
+    Ok(place)
 }
 
 /// An address that refuses connections.
 pub fn refusing() -> io::Result<Place> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    let socket = bound(([127, 0, 0, 1], 0).into())?;
     let address = socket.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
-    Ok(Place { address, _held: Some(socket) })
+    Ok(Place { address, _held: socket })
 }
 
 /// A call as it came.
@@ -130,6 +156,9 @@
                 ("DELETE", _) => self.given_up(&ticket),
                 _ => Some(self.answer("400 no", "", "")),
             };
+            if self.dead.load(Ordering::SeqCst) {
+                return reset(&stream);
+            }
             if let Some(answer) = answer {
                 stream.write_all(answer.as_bytes())?;
             }
@@ -170,6 +199,7 @@
             due: Instant::now() + Duration::from_millis(after_ms),
             silent: false,
             noted: false,
+            errs: false,
             pages,
         };
         let keep = |query: Query| drop(locked(&self.queries).insert(ticket.clone(), query));
@@ -190,9 +220,14 @@
                 self.world.log(Event::Dying(self.number, request));
                 Started::Reset
             }
-            Fate::Error => {
-                self.ending(request, End::Error);
-                Started::Answer(self.unknown())
+            Fate::DiesForGood => {
+                self.world.log(Event::Dying(self.number, request));
+                self.die();
+                Started::Reset
+            }
+            Fate::Error { after_ms } => {
+                keep(Query { errs: true, ..query(after_ms, Vec::new()) });
+                Started::News(ticket)
             }
             Fate::Shed => {
                 self.ending(request, End::NeverRan);
@@ -217,6 +252,10 @@
             if query.silent {
                 return None;
             }
+            if Instant::now() >= query.due && query.errs {
+                self.ending(query.request, End::Error);
+                return Some(self.unknown());
+            }
             if Instant::now() >= query.due {
                 let rows = query.pages.iter().map(|page| page.trim_end().to_owned()).collect();
                 self.ending(query.request, End::Rows(rows));
@@ -232,6 +271,22 @@
         }
     }
 
+    /// The process dies with all that it runs; from here on its address refuses connections.
+    fn die(&self) {
+        self.dead.store(true, Ordering::SeqCst);
+        for (_, query) in locked(&self.queries).drain() {
+            self.world.log(Event::Dying(self.number, query.request));
+        }
+        // Its listener wakes up, sees that it is dead, and closes.
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
+        for stream in locked(&self.streams).drain(..) {
+            let _ = reset(&stream);
+            let _ = stream.shutdown(Shutdown::Read);
+        }
+    }
+
     fn page(&self, ticket: &str, page: usize) -> Option<String> {
         let queries = locked(&self.queries);
         let Some(query) = queries.get(ticket) else { return Some(self.unknown()) };
--- a/gateway/tests/deployments/run.rs
+++ b/gateway/tests/deployments/run.rs
@@ -191,7 +191,7 @@
         }
     };
     format!(
-        "{{\"name\":\"{}\",\"aim-s\":0.6,\"deadline-s\":{},\"worth\":1.0,\"late-value\":0.1,\"keep-order\":{},{repeat}}}",
+        "{{\"name\":\"{}\",\"aim-s\":1.5,\"deadline-s\":{},\"worth\":1.0,\"late-value\":0.1,\"keep-order\":{},{repeat}}}",
         class.name,
         class.deadline.as_secs_f64(),
         class.ordered
--- a/gateway/tests/deployments/world.rs
+++ b/gateway/tests/deployments/world.rs
@@ -19,6 +19,7 @@
     arrivals: Mutex<BTreeMap<Serial, usize>>,
     pub reports: Reports,
     over: AtomicBool,
+    has_died: AtomicBool,
     late_us: AtomicU64,
 }
 
@@ -36,6 +37,7 @@
             arrivals: Mutex::default(),
             reports,
             over: AtomicBool::new(false),
+            has_died: AtomicBool::new(false),
             late_us: AtomicU64::new(0),
         });
         let watched = world.clone();
@@ -81,7 +83,11 @@
         let number = arrivals.entry(request).or_default();
         *number += 1;
         let fate = self.fates.get(request).and_then(|fates| fates.get(*number - 1)).copied();
-        (fate.unwrap_or(Fate::Served { after_ms: 0, pages: 1, noted: false }), *number)
+        let fate = match fate.unwrap_or(Fate::Served { after_ms: 0, pages: 1, noted: false }) {
+            Fate::DiesForGood if self.has_died.swap(true, Ordering::SeqCst) => Fate::Dies,
+            fate => fate,
+        };
+        (fate, *number)
     }
 
     pub fn since_start(&self) -> Duration {
