--- a/gateway/tests/deployments/draw.rs
+++ b/gateway/tests/deployments/draw.rs
@@ -156,7 +156,7 @@
 
 impl Draw {
     fn deployment(mut self) -> Deployment {
-        let zoned = self.random.chance(60);
+        let zoned = self.random.chance(75);
         let classes = self.classes();
         let engines = self.engines(zoned);
         let mut refusing = vec![false; engines.len()];
@@ -173,7 +173,7 @@
         let terms = Terms {
             may_cancel: self.random.chance(70),
             may_probe: self.random.chance(50),
-            max_attempts: self.random.between(1, 3) as usize,
+            max_attempts: self.random.one_of(&[1, 2, 2, 3, 3]),
             settle: Duration::from_millis(self.random.between(250, 400)),
             grace: Duration::from_millis(self.random.between(100, 300)),
             slack: Duration::from_millis(20),
@@ -196,11 +196,11 @@
 
     fn effect(&mut self) -> Effect {
         let window = Duration::from_millis(self.random.between(100, 1500));
-        match self.random.below(5) {
+        match self.random.below(8) {
             0 => Effect::Safe,
             1 => Effect::Keyed { group: Group::All, window },
-            2 => Effect::Keyed { group: Group::Zone, window },
-            3 => Effect::Keyed { group: Group::Cell, window },
+            2..4 => Effect::Keyed { group: Group::Zone, window },
+            4..6 => Effect::Keyed { group: Group::Cell, window },
             _ => Effect::Unsafe,
         }
     }
@@ -355,8 +355,8 @@
         let (pages, noted) = (self.random.between(1, 3) as usize, self.random.chance(50));
         match self.random.below(100) {
             0..20 if !keyed => Fate::Served { after_ms: 0, pages, noted },
-            20..56 => Fate::Served { after_ms, pages, noted },
-            56..66 => Fate::Error { after_ms: if noted { 0 } else { after_ms } },
+            20..52 => Fate::Served { after_ms, pages, noted },
+            52..66 => Fate::Error { after_ms: if noted { 0 } else { after_ms } },
             66..76 => Fate::Shed,
             76..78 => Fate::Over,
             78..84 => Fate::Dies,
