--- a/gateway/tests/deployments/run.rs
+++ b/gateway/tests/deployments/run.rs
@@ -143,6 +143,9 @@
         while !(0..requests).all(|request| self.world.is_settled(request)) && began.elapsed() < PATIENCE {
             thread::sleep(Duration::from_millis(10));
         }
+        while !self.world.is_quiet() && began.elapsed() < PATIENCE {
+            thread::sleep(Duration::from_millis(10));
+        }
         thread::sleep(LINGER);
     }
 
--- a/gateway/tests/deployments/world.rs
+++ b/gateway/tests/deployments/world.rs
@@ -6,12 +6,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::auditor::{Allowance, Entry, Event, Serial};
+use crate::auditor::{Allowance, Entry, Event, Serial, serial_of};
 use crate::draw::{Fate, Reports};
 
 /// How long the thread sleeps that measures how late threads wake up.
 const NAP: Duration = Duration::from_millis(2);
 
+/// An attempt that nobody has asked for in this long is not waited for.
+const ABANDONED: Duration = Duration::from_secs(1);
+
 pub struct World {
     started: Instant,
     log: Mutex<Vec<Entry>>,
@@ -77,6 +80,27 @@
         })
     }
 
+    /// Whether no attempt is out that is still being asked for.
+    pub fn is_quiet(&self) -> bool {
+        let now = self.started.elapsed();
+        let mut out = BTreeMap::new();
+        for entry in locked(&self.log).iter() {
+            match &entry.event {
+                Event::Arrived(engine, call) => {
+                    serial_of(&call.statement).map(|request| out.insert((*engine, request), entry.at));
+                }
+                Event::Asked(engine, request) => {
+                    out.entry((*engine, *request)).and_modify(|asked| *asked = entry.at);
+                }
+                Event::Ending(engine, request, _)
+                | Event::GivenUp(engine, request)
+                | Event::Dying(engine, request) => drop(out.remove(&(*engine, *request))),
+                _ => {}
+            }
+        }
+        out.values().all(|asked| *asked + ABANDONED < now)
+    }
+
     /// What becomes of the attempt of a request that has come just now, and its number.
     pub fn fate(&self, request: Serial) -> (Fate, usize) {
         let mut arrivals = locked(&self.arrivals);
