Give no query up where the settings allow no cancels

The module asked for no cancel; `resume` gave the attempt up by itself when its calls were not answered, without asking whether that is allowed.

Change: where it is not, nothing more is to be known of the attempt, and it ends as lost: its client hears at once, its key rests till it is surely over. Where cancels are allowed nothing changes.

--- a/gateway/src/net/engines/attempts.rs
+++ b/gateway/src/net/engines/attempts.rs
@@ -195,7 +195,7 @@
     /// So the call is made again over another connection. That is refused where the process has died, but also by
     /// one that drains and by one that holds all the connections it may, and these run on what they run: as where
     /// nothing comes up at all, it is not to be known. An engine whose answers stay bad is told to give the query
-    /// up.
+    /// up, where that is allowed; else nothing more is to be known of it.
     pub(super) fn resume(&mut self, id: AttemptId, over: &Link, end: End) {
         let unsent = self.is_unsent(id, &over.wire);
         let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
@@ -211,7 +211,10 @@
             _ if attempt.retries >= MOST_RETRIES && unsent => {
                 return self.end_attempt(id, Outcome::Unreachable, None);
             }
-            _ if attempt.retries >= MOST_RETRIES => return self.stop(id),
+            _ if attempt.retries >= MOST_RETRIES && self.config.settings.allowed.cancel => {
+                return self.stop(id);
+            }
+            _ if attempt.retries >= MOST_RETRIES => return self.unheard(id),
             _ => {}
         }
         attempt.retries += 1;
