--- /dev/null
+++ b/configuration/src/backoff/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- /dev/null
+++ b/configuration/src/patch.rs
@@ -0,0 +1,208 @@
+//! Differences of JSON values: RFC 7396 merge patches for objects, by name for lists whose elements are objects
+//! with a `name`, and whole for all else.
+//!
+//! The patch of a list by name is an object with the one member [`LIST_MEMBER`], which no document may have.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// The member that marks the patch of a list by name.
+pub const LIST_MEMBER: &str = "$list";
+
+/// The member of a list's elements by which they go.
+const NAME_MEMBER: &str = "name";
+
+/// Why a patch can't be applied.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PatchError {
+    /// The patch of a list has another form.
+    #[error("the patch of a list can't be read: {0}")]
+    Form(String),
+    /// A patch by name meets something else than a list of named objects.
+    #[error("a list of named objects expected")]
+    NoNamedList,
+    /// An element that is changed or removed is not there.
+    #[error("no element {0} in the list")]
+    Unknown(String),
+    /// An element that is added is there, or named twice.
+    #[error("element {0} twice in the list")]
+    Twice(String),
+    /// The order names other elements than the list has.
+    #[error("the order names other elements than the list has")]
+    Order,
+}
+
+/// How a list of named objects changes: elements are removed, then changed in place, then added at the end; at
+/// last they are put in order, where one is given.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ListPatch {
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    removed: BTreeSet<String>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    changed: BTreeMap<String, Value>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    added: Vec<Value>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    order: Vec<String>,
+}
+
+/// The patch that makes `new` of `old`, both without null members; an empty object where they are equal.
+pub(crate) fn difference(old: &Value, new: &Value) -> Value {
+    changes(old, new).unwrap_or_else(|| Value::Object(Map::new()))
+}
+
+fn changes(old: &Value, new: &Value) -> Option<Value> {
+    if old == new {
+        return None;
+    }
+    Some(match (old, new) {
+        (Value::Object(old), Value::Object(new)) => Value::Object(object_changes(old, new)),
+        (Value::Array(old), Value::Array(new)) => {
+            list_changes(old, new).unwrap_or_else(|| Value::Array(new.clone()))
+        }
+        _ => new.clone(),
+    })
+}
+
+fn object_changes(old: &Map<String, Value>, new: &Map<String, Value>) -> Map<String, Value> {
+    let mut patch = Map::new();
+    for key in old.keys().filter(|key| !new.contains_key(*key)) {
+        patch.insert(key.clone(), Value::Null);
+    }
+    for (key, value) in new {
+        let change = match old.get(key) {
+            Some(before) => changes(before, value),
+            None => Some(value.clone()),
+        };
+        if let Some(change) = change {
+            patch.insert(key.clone(), change);
+        }
+    }
+    patch
+}
+
+/// None where one of the lists does not go by name.
+fn list_changes(old: &[Value], new: &[Value]) -> Option<Value> {
+    let (old_by_name, new_by_name) = (by_name(old)?, by_name(new)?);
+    let mut patch = ListPatch::default();
+    let mut result_order = Vec::new();
+    for element in old {
+        let name = name(element)?;
+        match new_by_name.get(name) {
+            None => {
+                patch.removed.insert(name.to_owned());
+            }
+            Some(after) => {
+                result_order.push(name);
+                if let Some(change) = changes(element, after) {
+                    patch.changed.insert(name.to_owned(), change);
+                }
+            }
+        }
+    }
+    for element in new {
+        let name = name(element)?;
+        if !old_by_name.contains_key(name) {
+            result_order.push(name);
+            patch.added.push(element.clone());
+        }
+    }
+    let wanted_order: Vec<&str> = new.iter().filter_map(name).collect();
+    if result_order != wanted_order {
+        patch.order = wanted_order.into_iter().map(str::to_owned).collect();
+    }
+    let patch = serde_json::to_value(patch).ok()?;
+    Some(Value::Object(Map::from_iter([(LIST_MEMBER.to_owned(), patch)])))
+}
+
+/// The elements by name; none where it is empty, an element has no name or two have the same.
+fn by_name(list: &[Value]) -> Option<HashMap<&str, &Value>> {
+    let mut elements = HashMap::new();
+    for element in list {
+        if elements.insert(name(element)?, element).is_some() {
+            return None;
+        }
+    }
+    (!elements.is_empty()).then_some(elements)
+}
+
+fn name(element: &Value) -> Option<&str> {
+    element.as_object()?.get(NAME_MEMBER)?.as_str()
+}
+
+/// Applies a patch to a value. After an error the value is of no use: work on a copy.
+pub(crate) fn apply(target: &mut Value, patch: Value) -> Result<(), PatchError> {
+    let Value::Object(mut members) = patch else {
+        *target = patch;
+        return Ok(());
+    };
+    if let Some(list) = members.remove(LIST_MEMBER) {
+        return apply_list(target, list);
+    }
+    if !target.is_object() {
+        *target = Value::Object(Map::new());
+    }
+    let Value::Object(object) = target else { return Ok(()) };
+    for (key, change) in members {
+        if change.is_null() {
+            object.remove(&key);
+        } else {
+            apply(object.entry(key).or_insert(Value::Null), change)?;
+        }
+    }
+    Ok(())
+}
+
+fn apply_list(target: &mut Value, patch: Value) -> Result<(), PatchError> {
+    let patch: ListPatch = serde_json::from_value(patch).map_err(|e| PatchError::Form(e.to_string()))?;
+    let Value::Array(list) = target else { return Err(PatchError::NoNamedList) };
+    let mut elements = take_named(std::mem::take(list))?;
+    for name in patch.removed {
+        let position = position(&elements, &name)?;
+        elements.remove(position);
+    }
+    for (name, change) in patch.changed {
+        let position = position(&elements, &name)?;
+        apply(&mut elements[position].1, change)?;
+    }
+    elements.extend(take_named(patch.added)?);
+    if !patch.order.is_empty() {
+        elements = ordered(elements, patch.order)?;
+    }
+    let result: Vec<Value> = elements.into_iter().map(|(_, element)| element).collect();
+    by_name(&result).ok_or(PatchError::NoNamedList)?;
+    *list = result;
+    Ok(())
+}
+
+fn take_named(list: Vec<Value>) -> Result<Vec<(String, Value)>, PatchError> {
+    let named = |element: Value| {
+        let name = name(&element).ok_or(PatchError::NoNamedList)?.to_owned();
+        Ok((name, element))
+    };
+    list.into_iter().map(named).collect()
+}
+
+fn position(elements: &[(String, Value)], wanted: &str) -> Result<usize, PatchError> {
+    let found = elements.iter().position(|(name, _)| name == wanted);
+    found.ok_or_else(|| PatchError::Unknown(wanted.to_owned()))
+}
+
+fn ordered(elements: Vec<(String, Value)>, order: Vec<String>) -> Result<Vec<(String, Value)>, PatchError> {
+    let count = elements.len();
+    let mut by_name: HashMap<String, Value> = elements.into_iter().collect();
+    if by_name.len() != count || order.len() != count {
+        return Err(PatchError::Order);
+    }
+    let take = |name: String| {
+        let element = by_name.remove(&name).ok_or(PatchError::Order)?;
+        Ok((name, element))
+    };
+    order.into_iter().map(take).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/configuration/src/version.rs
@@ -0,0 +1,80 @@
+//! Versions, digests and the names of gateways.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// The number of a configuration; assigned by whoever publishes, strictly rising. 0: none was published.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// No version: what a gateway has that follows only its own file.
+    pub const NONE: Self = Self(0);
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The 64-bit FNV-1a of a document's canonical JSON; written as 16 hex digits. It finds differences by mistake or
+/// damage, and is no protection against forgery.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest(pub u64);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// A digest is not 16 hex digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("16 hex digits expected")]
+pub struct DigestError;
+
+impl FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        let is_hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !is_hex {
+            return Err(DigestError);
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| DigestError)
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
+    }
+}
+
+/// The name of a gateway, as it gives it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GatewayId(pub String);
+
+impl fmt::Display for GatewayId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<&str> for GatewayId {
+    fn from(name: &str) -> Self {
+        Self(name.to_owned())
+    }
+}
