Add a control machine's publisher: paced, newest version only, differences where shorter

A gateway has one message on its way at a time; versions that come up meanwhile are merged into one difference from what it has. Budgets of bytes and messages a second spread a version over the gateways.

--- a/configuration/src/lib.rs
+++ b/configuration/src/lib.rs
@@ -10,7 +10,9 @@
 mod document;
 mod hash;
 mod message;
+mod pacing;
 mod patch;
+mod publisher;
 mod subscriber;
 mod version;
 
@@ -19,6 +21,11 @@
 pub use message::{
     Delta, MAX_MESSAGE_BYTES, MAX_REASON_CHARS, Message, MessageError, Report, Snapshot, VerifyError,
 };
+pub use pacing::Pacing;
 pub use patch::{LIST_MEMBER, PatchError};
+pub use publisher::{
+    Connection, GatewayStatus, HEARTBEAT_US, HISTORY_VERSIONS, Merge, Outgoing, PublishError, Publisher,
+    REMEMBERED_GATEWAYS, REPORT_TIMEOUT_MOST_US, REPORT_TIMEOUT_US, RefusedVersion, Status,
+};
 pub use subscriber::{Position, SILENCE_US, Step, Subscriber};
 pub use version::{Digest, GatewayId, Version};
--- a/configuration/src/patch/tests.rs
+++ b/configuration/src/patch/tests.rs
@@ -1,1 +1,1 @@
-use super::*;
+
--- /dev/null
+++ b/configuration/src/publisher/peer.rs
@@ -0,0 +1,136 @@
+//! What a control machine knows of one gateway.
+
+use crate::message::Report;
+use crate::version::{Digest, Version};
+
+use super::Connection;
+
+/// A message without a report is sent again after this; each further time after twice as long. Microseconds.
+pub const REPORT_TIMEOUT_US: u64 = 3_000_000;
+
+/// The longest wait for a report. Microseconds.
+pub const REPORT_TIMEOUT_MOST_US: u64 = 48_000_000;
+
+/// A stream gets a heartbeat after so long without a message. Microseconds.
+pub const HEARTBEAT_US: u64 = 1_500_000;
+
+/// A version that a gateway does not take.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedVersion {
+    /// Which.
+    pub version: Version,
+    /// Why, as the gateway says.
+    pub reason: String,
+}
+
+/// Something that was sent and not reported yet.
+#[derive(Debug)]
+struct Offer {
+    version: Version,
+    sent_us: u64,
+    tries: u32,
+}
+
+impl Offer {
+    /// When something may be sent again. A newer version does not wait for the longer waits of an older one.
+    fn over_us(&self, newest: Version) -> u64 {
+        let doublings = if self.version == newest { self.tries.saturating_sub(1).min(16) } else { 0 };
+        let wait_us = (REPORT_TIMEOUT_US << doublings).min(REPORT_TIMEOUT_MOST_US);
+        self.sent_us.saturating_add(wait_us)
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) connection: Connection,
+    pub(super) is_connected: bool,
+    pub(super) version: Version,
+    pub(super) digest: Option<Digest>,
+    pub(super) refused: Option<RefusedVersion>,
+    /// Rises with each message with configuration to any gateway: who has the lowest is served first.
+    pub(super) served: u64,
+    offer: Option<Offer>,
+    next_message_us: u64,
+    next_heartbeat_us: u64,
+}
+
+impl Peer {
+    pub(super) fn new(
+        now_us: u64,
+        connection: Connection,
+        served: u64,
+        version: Version,
+        digest: Digest,
+    ) -> Self {
+        Self {
+            connection,
+            is_connected: true,
+            version,
+            digest: Some(digest),
+            refused: None,
+            served,
+            offer: None,
+            next_message_us: now_us,
+            // At once, so that the gateway learns of the newest version while it waits for its turn.
+            next_heartbeat_us: now_us,
+        }
+    }
+
+    /// When it may be sent the newest version; none if there is no need to.
+    pub(super) fn wants_at_us(&self, newest: Version, digest: Option<Digest>) -> Option<u64> {
+        let has_it = self.version == newest && self.digest == digest;
+        let is_refused = self.refused.as_ref().is_some_and(|refused| refused.version == newest);
+        if newest == Version::NONE || self.version > newest {
+            return None;
+        }
+        if !self.is_connected || has_it || is_refused {
+            return None;
+        }
+        let waits_us = self.offer.as_ref().map_or(0, |offer| offer.over_us(newest));
+        Some(self.next_message_us.max(waits_us))
+    }
+
+    pub(super) fn heartbeat_at_us(&self) -> Option<u64> {
+        self.is_connected.then_some(self.next_heartbeat_us)
+    }
+
+    pub(super) fn sent(&mut self, now_us: u64, gap_us: u64, served: u64, version: Version) {
+        let before = self.offer.take_if(|offer| offer.version == version);
+        let tries = before.map_or(0, |offer| offer.tries).saturating_add(1);
+        self.offer = Some(Offer { version, sent_us: now_us, tries });
+        self.served = served;
+        self.next_message_us = now_us.saturating_add(gap_us);
+        self.sent_heartbeat(now_us);
+    }
+
+    pub(super) fn sent_heartbeat(&mut self, now_us: u64) {
+        self.next_heartbeat_us = now_us.saturating_add(HEARTBEAT_US);
+    }
+
+    /// Takes a report on what was sent on this stream; others are late, doubled or made up and don't count.
+    pub(super) fn reported(&mut self, report: Report, digest_of: impl Fn(Version) -> Option<Digest>) {
+        let version = report.version();
+        let was_offered = self.offer.take_if(|offer| offer.version == version).is_some();
+        match report {
+            Report::Applied { .. } => {
+                let was_refused = self.refused.take_if(|refused| refused.version == version).is_some();
+                if was_offered || was_refused {
+                    self.has(version, digest_of(version));
+                }
+            }
+            Report::Refused { reason, in_force, .. } => {
+                if was_offered || self.version == version {
+                    self.refused = Some(RefusedVersion { version, reason });
+                    self.has(in_force, digest_of(in_force));
+                }
+            }
+        }
+    }
+
+    fn has(&mut self, version: Version, digest: Option<Digest>) {
+        if self.version != version {
+            self.version = version;
+            self.digest = digest;
+        }
+    }
+}
--- /dev/null
+++ b/configuration/src/publisher/status.rs
@@ -0,0 +1,54 @@
+//! What a control machine can tell operators.
+
+use std::collections::BTreeMap;
+
+use crate::version::{GatewayId, Version};
+
+use super::peer::RefusedVersion;
+
+/// One gateway, as a control machine knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayStatus {
+    /// Its name.
+    pub gateway: GatewayId,
+    /// Whether its stream is open here.
+    pub is_connected: bool,
+    /// The version that is in force there, by its last report or when it joined.
+    pub version: Version,
+    /// The last version that it refused, until it has taken that one over.
+    pub refused: Option<RefusedVersion>,
+}
+
+/// All gateways that a control machine knows of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// The newest version here.
+    pub newest: Version,
+    /// The newest version that a gateway has, which may be newer.
+    pub newest_heard: Version,
+    /// A version that another control machine has with other contents.
+    pub conflict: Option<Version>,
+    /// By name.
+    pub gateways: Vec<GatewayStatus>,
+}
+
+impl Status {
+    /// How many connected gateways have which version.
+    pub fn counts(&self) -> BTreeMap<Version, usize> {
+        let mut counts = BTreeMap::new();
+        for gateway in self.gateways.iter().filter(|gateway| gateway.is_connected) {
+            *counts.entry(gateway.version).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Who has not the newest version.
+    pub fn behind(&self) -> impl Iterator<Item = &GatewayStatus> {
+        self.gateways.iter().filter(|gateway| gateway.version < self.newest)
+    }
+
+    /// Who refused a version and has not taken it over since.
+    pub fn refusals(&self) -> impl Iterator<Item = (&GatewayId, &RefusedVersion)> {
+        self.gateways.iter().filter_map(|gateway| Some((&gateway.gateway, gateway.refused.as_ref()?)))
+    }
+}
