--- a/configuration/src/pacing/tests.rs
+++ b/configuration/src/pacing/tests.rs
@@ -1,1 +1,37 @@
+use super::*;
 
+fn sent(pacing: Pacing, bytes: usize, seconds: u64) -> u64 {
+    let mut pacer = Pacer::new(pacing);
+    let (mut now_us, mut count) = (0, 0);
+    while now_us < seconds * 1_000_000 {
+        pacer.spend(now_us, bytes);
+        count += 1;
+        now_us = now_us.max(pacer.free_at_us());
+    }
+    count
+}
+
+#[test]
+fn both_budgets_hold_and_an_idle_time_saves_nothing_up() {
+    let pacing = Pacing { bytes_per_second: 100_000, messages_per_second: 50, gap_us: 0 };
+    assert!((500..=503).contains(&sent(pacing, 10, 10)), "messages");
+    assert!((100..=103).contains(&sent(pacing, 10_000, 10)), "bytes");
+    let mut pacer = Pacer::new(pacing);
+    pacer.spend(60_000_000, 10_000);
+    assert_eq!(pacer.free_at_us(), 60_100_000 - BURST_US);
+}
+
+#[test]
+fn what_is_larger_than_the_budget_goes_out_and_is_waited_for() {
+    let pacing = Pacing { bytes_per_second: 1_000, messages_per_second: 50, gap_us: 0 };
+    let mut pacer = Pacer::new(pacing);
+    pacer.spend(0, 5_000);
+    assert_eq!(pacer.free_at_us(), 5_000_000 - BURST_US);
+}
+
+#[test]
+fn a_budget_of_nothing_is_no_panic() {
+    let mut pacer = Pacer::new(Pacing { bytes_per_second: 0, messages_per_second: 0, gap_us: 0 });
+    pacer.spend(u64::MAX, usize::MAX);
+    assert!(pacer.free_at_us() > 0);
+}
--- a/configuration/src/patch.rs
+++ b/configuration/src/patch.rs
@@ -26,9 +26,6 @@
     /// An element that is changed or removed is not there.
     #[error("no element {0} in the list")]
     Unknown(String),
-    /// An element that is added is there, or named twice.
-    #[error("element {0} twice in the list")]
-    Twice(String),
     /// The order names other elements than the list has.
     #[error("the order names other elements than the list has")]
     Order,
--- a/configuration/src/patch/tests.rs
+++ b/configuration/src/patch/tests.rs
@@ -1,1 +1,103 @@
+use serde_json::json;
 
+use super::*;
+
+fn patched(old: &Value, new: &Value) -> Value {
+    let mut result = old.clone();
+    apply(&mut result, difference(old, new)).unwrap();
+    result
+}
+
+fn refused(mut target: Value, patch: Value) -> PatchError {
+    apply(&mut target, patch).unwrap_err()
+}
+
+#[test]
+fn objects_go_by_merge_patch() {
+    let old = json!({ "a": "b", "c": { "d": "e", "f": "g" }, "same": 1 });
+    let new = json!({ "a": "z", "c": { "d": "e" }, "new": [], "same": 1 });
+    assert_eq!(difference(&old, &new), json!({ "a": "z", "c": { "f": null }, "new": [] }));
+    assert_eq!(patched(&old, &new), new);
+    assert_eq!(difference(&new, &new), json!({}));
+}
+
+/// The examples of RFC 7396, appendix A, whose target is an object.
+#[test]
+fn merge_patches_do_what_their_standard_says() {
+    let examples = [
+        (json!({"a":"b"}), json!({"a":"c"}), json!({"a":"c"})),
+        (json!({"a":"b"}), json!({"b":"c"}), json!({"a":"b","b":"c"})),
+        (json!({"a":"b"}), json!({"a":null}), json!({})),
+        (json!({"a":"b","b":"c"}), json!({"a":null}), json!({"b":"c"})),
+        (json!({"a":["b"]}), json!({"a":"c"}), json!({"a":"c"})),
+        (json!({"a":"c"}), json!({"a":["b"]}), json!({"a":["b"]})),
+        (json!({"a":{"b":"c"}}), json!({"a":{"b":"d","c":null}}), json!({"a":{"b":"d"}})),
+        (json!({"a":[{"b":"c"}]}), json!({"a":[1]}), json!({"a":[1]})),
+        (json!(["a", "b"]), json!(["c", "d"]), json!(["c", "d"])),
+        (json!({"a":"b"}), json!(["c"]), json!(["c"])),
+        (json!({"a":"foo"}), json!(null), json!(null)),
+        (json!({"e":null}), json!({"a":1}), json!({"e":null,"a":1})),
+        (json!([1, 2]), json!({"a":"b","c":null}), json!({"a":"b"})),
+        (json!({}), json!({"a":{"bb":{"ccc":null}}}), json!({"a":{"bb":{}}})),
+    ];
+    for (mut target, patch, result) in examples {
+        apply(&mut target, patch.clone()).unwrap();
+        assert_eq!(target, result, "{patch}");
+    }
+}
+
+#[test]
+fn named_lists_send_only_the_elements_that_change() {
+    let old = json!({ "classes": [{ "name": "a", "aim": 1, "x": 1 }, { "name": "b" }, { "name": "c" }] });
+    let new = json!({ "classes": [{ "name": "a", "aim": 2, "x": 1 }, { "name": "c" }, { "name": "d" }] });
+    let patch = json!({ "classes": { LIST_MEMBER: {
+        "removed": ["b"], "changed": { "a": { "aim": 2 } }, "added": [{ "name": "d" }] } } });
+    assert_eq!(difference(&old, &new), patch);
+    assert_eq!(patched(&old, &new), new);
+}
+
+#[test]
+fn the_order_is_sent_where_it_changes() {
+    let old = json!([{ "name": "a" }, { "name": "b" }]);
+    let new = json!([{ "name": "c" }, { "name": "b" }, { "name": "a" }]);
+    let patch = json!({ LIST_MEMBER: { "added": [{ "name": "c" }], "order": ["c", "b", "a"] } });
+    assert_eq!(difference(&old, &new), patch);
+    assert_eq!(patched(&old, &new), new);
+}
+
+#[test]
+fn other_lists_are_sent_whole() {
+    for (old, new) in [
+        (json!([1, 2]), json!([1, 3])),
+        (json!([]), json!([{ "name": "a" }])),
+        (json!([{ "name": "a" }]), json!([])),
+        (json!([{ "name": "a" }, { "name": "a" }]), json!([{ "name": "a" }])),
+        (json!([{ "name": "a" }]), json!([{ "name": 7 }])),
+        (json!([{ "name": "a" }]), json!([{ "named": "a" }, null])),
+    ] {
+        assert_eq!(difference(&old, &new), new);
+        assert_eq!(patched(&old, &new), new);
+    }
+}
+
+#[test]
+fn patches_that_do_not_fit_are_refused() {
+    let list = || json!([{ "name": "a" }, { "name": "b" }]);
+    let patch = |patch: Value| json!({ LIST_MEMBER: patch });
+    assert_eq!(refused(list(), patch(json!({ "removed": ["z"] }))), PatchError::Unknown("z".to_owned()));
+    assert_eq!(
+        refused(list(), patch(json!({ "changed": { "z": {} } }))),
+        PatchError::Unknown("z".to_owned())
+    );
+    assert_eq!(refused(list(), patch(json!({ "added": [{ "name": "a" }] }))), PatchError::NoNamedList);
+    assert_eq!(refused(list(), patch(json!({ "added": [7] }))), PatchError::NoNamedList);
+    assert_eq!(
+        refused(list(), patch(json!({ "changed": { "a": { "name": null } } }))),
+        PatchError::NoNamedList
+    );
+    assert_eq!(refused(list(), patch(json!({ "order": ["a"] }))), PatchError::Order);
+    assert_eq!(refused(list(), patch(json!({ "order": ["a", "a"] }))), PatchError::Order);
+    assert_eq!(refused(json!({}), patch(json!({ "removed": [] }))), PatchError::NoNamedList);
+    assert!(matches!(refused(list(), patch(json!({ "moved": [] }))), PatchError::Form(_)));
+    assert!(matches!(refused(list(), patch(json!(7))), PatchError::Form(_)));
+}
--- a/configuration/src/publisher.rs
+++ b/configuration/src/publisher.rs
@@ -1,7 +1,8 @@
 //! A control machine's side: which gateway is sent what, and when.
 //!
 //! A gateway has one message with configuration on its way at a time. Versions that come up meanwhile are merged:
-//! the next message leads from what it has to the newest.
+//! the next message leads from what it has to the newest. A gateway that refuses the newest gets the newest that it
+//! does not refuse.
 
 mod history;
 mod peer;
@@ -156,10 +157,7 @@
         self.forget();
         self.connections += 1;
         let connection = Connection(self.connections);
-        let mut peer = Peer::new(now_us, connection, self.served, version, digest);
-        if let Some(before) = self.peers.remove(&gateway) {
-            peer.refused = before.refused.filter(|refused| refused.version > version);
-        }
+        let peer = Peer::new(now_us, connection, self.served, version, digest);
         self.peers.insert(gateway, peer);
         connection
     }
@@ -192,11 +190,11 @@
 
     /// When to ask again what is due, if nothing else happens; none while no gateway is connected.
     pub fn next_due_us(&self) -> Option<u64> {
-        let (newest, digest) = (self.history.newest(), self.newest_digest());
         let free_us = self.pacer.free_at_us();
         let next = |peer: &Peer| {
-            let wants_us = peer.wants_at_us(newest, digest).map(|at_us| at_us.max(free_us));
-            wants_us.into_iter().chain(peer.heartbeat_at_us()).min()
+            let target = peer.target(self.history.descending());
+            let ready_us = target.map(|target| peer.ready_at_us(target).max(free_us));
+            ready_us.into_iter().chain(peer.heartbeat_at_us()).min()
         };
         self.peers.values().filter_map(next).min()
     }
@@ -207,7 +205,7 @@
             gateway: gateway.clone(),
             is_connected: peer.is_connected,
             version: peer.version,
-            refused: peer.refused.clone(),
+            refused: peer.refused.iter().max_by_key(|refused| refused.version).cloned(),
         };
         Status {
             newest: self.history.newest(),
@@ -217,25 +215,38 @@
         }
     }
 
-    fn newest_digest(&self) -> Option<Digest> {
-        self.history.newest_document().map(Document::digest)
-    }
-
     fn add_configuration(&mut self, now_us: u64, outgoing: &mut Vec<(GatewayId, Outgoing)>) {
-        let (version, digest) = (self.history.newest(), self.newest_digest());
-        let is_ready = |peer: &Peer| peer.wants_at_us(version, digest).is_some_and(|at_us| at_us <= now_us);
-        let mut ready: Vec<_> = self.peers.iter_mut().filter(|(_, peer)| is_ready(peer)).collect();
-        ready.sort_by_key(|(_, peer)| peer.served);
-        for (gateway, peer) in ready {
+        if self.pacer.free_at_us() > now_us {
+            return;
+        }
+        for (gateway, version) in self.ready(now_us) {
             if self.pacer.free_at_us() > now_us {
                 return;
             }
-            let Some(text) = self.history.text_for(peer.version, peer.digest) else { return };
-            self.pacer.spend(now_us, text.len());
-            self.served += 1;
-            peer.sent(now_us, self.pacing.gap_us, self.served, version);
-            outgoing.push((gateway.clone(), Outgoing { version, text }));
+            outgoing.extend(self.send(now_us, gateway, version));
+        }
+    }
+
+    /// Gateways that may be sent a version now, and which; served longest ago first.
+    fn ready(&self, now_us: u64) -> Vec<(GatewayId, Version)> {
+        let mut ready = Vec::new();
+        for (gateway, peer) in &self.peers {
+            let target = peer.target(self.history.descending());
+            if let Some(version) = target.filter(|version| peer.ready_at_us(*version) <= now_us) {
+                ready.push((peer.served, gateway, version));
+            }
         }
+        ready.sort_by_key(|(served, ..)| *served);
+        ready.into_iter().map(|(_, gateway, version)| (gateway.clone(), version)).collect()
+    }
+
+    fn send(&mut self, now_us: u64, gateway: GatewayId, version: Version) -> Option<(GatewayId, Outgoing)> {
+        let peer = self.peers.get_mut(&gateway)?;
+        let text = self.history.text_for(peer.version, peer.digest, version)?;
+        self.pacer.spend(now_us, text.len());
+        self.served += 1;
+        peer.sent(now_us, self.pacing.gap_us, self.served, version);
+        Some((gateway, Outgoing { version, text }))
     }
 
     fn add_heartbeats(&mut self, now_us: u64, outgoing: &mut Vec<(GatewayId, Outgoing)>) {
--- a/configuration/src/publisher/history.rs
+++ b/configuration/src/publisher/history.rs
@@ -1,4 +1,4 @@
-//! The newest versions, and the texts that lead to the newest.
+//! The newest versions, and the texts that lead to them.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -10,12 +10,14 @@
 /// Versions that are kept at most. A gateway that has an older one gets a snapshot.
 pub const HISTORY_VERSIONS: usize = 32;
 
-/// A bounded number of versions, ascending, and what was encoded for the newest.
+/// Which versions a text leads from and to; [`Version::NONE`] as the first: a snapshot.
+type Way = (Version, Version);
+
+/// A bounded number of versions, ascending, and what was encoded since the newest came.
 #[derive(Debug, Default)]
 pub(super) struct History {
     versions: Vec<(Version, Document)>,
-    /// By the version that it starts from; [`Version::NONE`]: the snapshot.
-    texts: HashMap<Version, Arc<str>>,
+    texts: HashMap<Way, Arc<str>>,
 }
 
 impl History {
@@ -42,15 +44,20 @@
         }
     }
 
-    /// What brings a gateway to the newest version: the difference from what it has, where that is known and the
-    /// difference is the shorter, else the whole. None while nothing was published.
-    pub(super) fn text_for(&mut self, has: Version, digest: Option<Digest>) -> Option<Arc<str>> {
-        let snapshot = self.snapshot()?;
-        let is_known = digest.is_some() && self.digest(has) == digest && has < self.newest();
+    /// All versions that are kept, the newest first.
+    pub(super) fn descending(&self) -> impl Iterator<Item = (Version, Digest)> {
+        self.versions.iter().rev().map(|(version, document)| (*version, document.digest()))
+    }
+
+    /// What brings a gateway to a version: the difference from what it has, where that is known and the difference
+    /// is the shorter, else the whole. None if the version is not kept.
+    pub(super) fn text_for(&mut self, has: Version, digest: Option<Digest>, to: Version) -> Option<Arc<str>> {
+        let snapshot = self.text((Version::NONE, to))?;
+        let is_known = digest.is_some() && self.digest(has) == digest && has < to;
         if !is_known {
             return Some(snapshot);
         }
-        let delta = self.delta(has)?;
+        let delta = self.text((has, to))?;
         Some(if delta.len() < snapshot.len() { delta } else { snapshot })
     }
 
@@ -59,24 +66,21 @@
         Some(&self.versions[place].1)
     }
 
-    fn snapshot(&mut self) -> Option<Arc<str>> {
-        if let Some(text) = self.texts.get(&Version::NONE) {
+    fn text(&mut self, way: Way) -> Option<Arc<str>> {
+        if let Some(text) = self.texts.get(&way) {
             return Some(text.clone());
         }
-        let (version, document) = self.versions.last()?;
-        let text: Arc<str> = Message::Snapshot(Snapshot::of(*version, document)).encode().into();
-        self.texts.insert(Version::NONE, text.clone());
+        let text: Arc<str> = self.message(way)?.encode().into();
+        self.texts.insert(way, text.clone());
         Some(text)
     }
 
-    fn delta(&mut self, from: Version) -> Option<Arc<str>> {
-        if let Some(text) = self.texts.get(&from) {
-            return Some(text.clone());
+    fn message(&self, (from, to): Way) -> Option<Message> {
+        let document = self.document(to)?;
+        if from == Version::NONE {
+            return Some(Message::Snapshot(Snapshot::of(to, document)));
         }
-        let (version, document) = self.versions.last()?;
-        let delta = Delta::between((from, self.document(from)?), (*version, document));
-        let text: Arc<str> = Message::Delta(delta).encode().into();
-        self.texts.insert(from, text.clone());
-        Some(text)
+        let base = self.document(from)?;
+        Some(Message::Delta(Delta::between((from, base), (to, document))))
     }
 }
--- a/configuration/src/publisher/peer.rs
+++ b/configuration/src/publisher/peer.rs
@@ -3,7 +3,7 @@
 use crate::message::Report;
 use crate::version::{Digest, Version};
 
-use super::Connection;
+use super::{Connection, HISTORY_VERSIONS};
 
 /// A message without a report is sent again after this; each further time after twice as long. Microseconds.
 pub const REPORT_TIMEOUT_US: u64 = 3_000_000;
@@ -32,9 +32,9 @@
 }
 
 impl Offer {
-    /// When something may be sent again. A newer version does not wait for the longer waits of an older one.
-    fn over_us(&self, newest: Version) -> u64 {
-        let doublings = if self.version == newest { self.tries.saturating_sub(1).min(16) } else { 0 };
+    /// When something may be sent again. Another version does not wait for the longer waits of this one.
+    fn over_us(&self, target: Version) -> u64 {
+        let doublings = if self.version == target { self.tries.saturating_sub(1).min(16) } else { 0 };
         let wait_us = (REPORT_TIMEOUT_US << doublings).min(REPORT_TIMEOUT_MOST_US);
         self.sent_us.saturating_add(wait_us)
     }
@@ -46,7 +46,8 @@
     pub(super) is_connected: bool,
     pub(super) version: Version,
     pub(super) digest: Option<Digest>,
-    pub(super) refused: Option<RefusedVersion>,
+    /// What it refused on this stream, the last one at the end.
+    pub(super) refused: Vec<RefusedVersion>,
     /// Rises with each message with configuration to any gateway: who has the lowest is served first.
     pub(super) served: u64,
     offer: Option<Offer>,
@@ -67,7 +68,7 @@
             is_connected: true,
             version,
             digest: Some(digest),
-            refused: None,
+            refused: Vec::new(),
             served,
             offer: None,
             next_message_us: now_us,
@@ -76,18 +77,25 @@
         }
     }
 
-    /// When it may be sent the newest version; none if there is no need to.
-    pub(super) fn wants_at_us(&self, newest: Version, digest: Option<Digest>) -> Option<u64> {
-        let has_it = self.version == newest && self.digest == digest;
-        let is_refused = self.refused.as_ref().is_some_and(|refused| refused.version == newest);
-        if newest == Version::NONE || self.version > newest {
+    /// What it should be sent, of all versions from the newest down: the newest that it has not refused, if it has
+    /// not got there yet.
+    pub(super) fn target(&self, mut versions: impl Iterator<Item = (Version, Digest)>) -> Option<Version> {
+        if !self.is_connected {
             return None;
         }
-        if !self.is_connected || has_it || is_refused {
-            return None;
-        }
-        let waits_us = self.offer.as_ref().map_or(0, |offer| offer.over_us(newest));
-        Some(self.next_message_us.max(waits_us))
+        let (version, digest) = versions.find(|(version, _)| !self.has_refused(*version))?;
+        let has_it = self.version == version && self.digest == Some(digest);
+        (!has_it && version >= self.version).then_some(version)
+    }
+
+    /// When a version may be sent to it.
+    pub(super) fn ready_at_us(&self, target: Version) -> u64 {
+        let waits_us = self.offer.as_ref().map_or(0, |offer| offer.over_us(target));
+        self.next_message_us.max(waits_us)
+    }
+
+    fn has_refused(&self, version: Version) -> bool {
+        self.refused.iter().any(|refused| refused.version == version)
     }
 
     pub(super) fn heartbeat_at_us(&self) -> Option<u64> {
@@ -113,20 +121,28 @@
         let was_offered = self.offer.take_if(|offer| offer.version == version).is_some();
         match report {
             Report::Applied { .. } => {
-                let was_refused = self.refused.take_if(|refused| refused.version == version).is_some();
-                if was_offered || was_refused {
+                if was_offered || self.has_refused(version) {
+                    self.refused.retain(|refused| refused.version > version);
                     self.has(version, digest_of(version));
                 }
             }
             Report::Refused { reason, in_force, .. } => {
                 if was_offered || self.version == version {
-                    self.refused = Some(RefusedVersion { version, reason });
+                    self.refuse(RefusedVersion { version, reason });
                     self.has(in_force, digest_of(in_force));
                 }
             }
         }
     }
 
+    fn refuse(&mut self, refused: RefusedVersion) {
+        self.refused.retain(|before| before.version != refused.version);
+        if self.refused.len() == HISTORY_VERSIONS {
+            self.refused.remove(0);
+        }
+        self.refused.push(refused);
+    }
+
     fn has(&mut self, version: Version, digest: Option<Digest>) {
         if self.version != version {
             self.version = version;
--- a/configuration/src/publisher/status.rs
+++ b/configuration/src/publisher/status.rs
@@ -15,7 +15,7 @@
     pub is_connected: bool,
     /// The version that is in force there, by its last report or when it joined.
     pub version: Version,
-    /// The last version that it refused, until it has taken that one over.
+    /// The newest version that it refused on this stream, until it has taken that one or a newer one over.
     pub refused: Option<RefusedVersion>,
 }
 
@@ -47,7 +47,7 @@
         self.gateways.iter().filter(|gateway| gateway.version < self.newest)
     }
 
-    /// Who refused a version and has not taken it over since.
+    /// Who refused a version and has not taken that one or a newer one over since.
     pub fn refusals(&self) -> impl Iterator<Item = (&GatewayId, &RefusedVersion)> {
         self.gateways.iter().filter_map(|gateway| Some((&gateway.gateway, gateway.refused.as_ref()?)))
     }
--- a/configuration/src/publisher/tests.rs
+++ b/configuration/src/publisher/tests.rs
@@ -1,1 +1,281 @@
+use serde_json::json;
 
+use super::*;
+
+const SECOND_US: u64 = 1_000_000;
+
+fn settings(version: u64) -> Document {
+    let classes: Vec<_> = (0..20).map(|class| json!({ "name": class.to_string(), "worth": 1 })).collect();
+    Document::new(json!({ "classes": classes, "over-share-worth": version })).unwrap()
+}
+
+/// A publisher with the versions 1 to `newest`.
+fn publisher(newest: u64) -> Publisher {
+    let mut publisher = Publisher::new(Pacing::default());
+    for version in 1..=newest {
+        publisher.publish(Version(version), settings(version)).unwrap();
+    }
+    publisher
+}
+
+fn gateway() -> GatewayId {
+    GatewayId::from("gw-0")
+}
+
+fn join(publisher: &mut Publisher, now_us: u64, version: u64) -> Connection {
+    publisher.join(now_us, gateway(), Version(version), settings(version).digest())
+}
+
+/// What goes out apart from heartbeats.
+fn configuration(publisher: &mut Publisher, now_us: u64) -> Vec<Message> {
+    let messages =
+        publisher.due(now_us).into_iter().map(|(_, outgoing)| Message::parse(&outgoing.text).unwrap());
+    messages.filter(|message| !matches!(message, Message::Current(_))).collect()
+}
+
+fn ways(messages: &[Message]) -> Vec<(u64, u64)> {
+    let way = |message: &Message| match message {
+        Message::Delta(delta) => (delta.from.0, delta.to.0),
+        other => (0, other.version().0),
+    };
+    messages.iter().map(way).collect()
+}
+
+fn applied(publisher: &mut Publisher, version: u64) {
+    publisher.report(&gateway(), Report::Applied { version: Version(version) });
+}
+
+fn refused(publisher: &mut Publisher, version: u64, in_force: u64) {
+    publisher.report(&gateway(), Report::refused(Version(version), "no", Version(in_force)));
+}
+
+#[test]
+fn versions_rise() {
+    let mut publisher = publisher(3);
+    let not_newer = |version| Err(PublishError::NotNewer { version: Version(version), newest: Version(3) });
+    assert_eq!(publisher.publish(Version(2), settings(2)), not_newer(2));
+    assert_eq!(publisher.publish(Version(3), settings(4)), not_newer(3));
+    assert_eq!(publisher.publish(Version(3), settings(3)), Ok(()), "once more the same");
+    assert_eq!(Publisher::new(Pacing::default()).publish(Version(0), settings(0)).is_err(), true);
+    assert_eq!(publisher.newest(), Some((Version(3), &settings(3))));
+}
+
+#[test]
+fn a_number_that_a_gateway_has_already_is_not_given_again() {
+    let mut publisher = publisher(3);
+    join(&mut publisher, 0, 7);
+    let heard = Err(PublishError::Heard { version: Version(7), heard: Version(7) });
+    assert_eq!(publisher.publish(Version(7), settings(7)), heard);
+    assert_eq!(publisher.next_version(), Version(8));
+    publisher.join(0, gateway(), Version(u64::MAX), Digest(0));
+    assert_eq!(publisher.next_version(), Version(8), "nobody is believed who is absurdly far ahead");
+    assert_eq!(publisher.publish(Version(8), settings(8)), Ok(()));
+}
+
+#[test]
+fn the_newest_of_another_machine_counts_and_an_older_does_not() {
+    let mut publisher = publisher(3);
+    assert_eq!(publisher.merge(Version(2), settings(9)), Merge::Older);
+    assert_eq!(publisher.merge(Version(0), settings(9)), Merge::Older);
+    assert_eq!(publisher.merge(Version(3), settings(3)), Merge::Same);
+    assert_eq!(publisher.status().conflict, None);
+    assert_eq!(publisher.merge(Version(3), settings(9)), Merge::Conflict);
+    assert_eq!(publisher.status().conflict, Some(Version(3)));
+    assert_eq!(publisher.newest(), Some((Version(3), &settings(3))));
+    assert_eq!(publisher.merge(Version(9), settings(9)), Merge::Taken);
+    assert_eq!(publisher.newest(), Some((Version(9), &settings(9))));
+    assert_eq!(publisher.status().conflict, None, "a newer one has settled it");
+}
+
+#[test]
+fn who_has_a_known_version_gets_a_difference_and_others_the_whole() {
+    for (has, digest, expected) in [
+        (3, settings(3).digest(), vec![(3, 5)]),
+        (3, settings(4).digest(), vec![(0, 5)]),
+        (0, settings(0).digest(), vec![(0, 5)]),
+        (5, settings(5).digest(), vec![]),
+        (5, settings(4).digest(), vec![(0, 5)]),
+        (6, settings(6).digest(), vec![]),
+    ] {
+        let mut publisher = publisher(5);
+        publisher.join(0, gateway(), Version(has), digest);
+        assert_eq!(ways(&configuration(&mut publisher, 0)), expected, "{has} {digest}");
+    }
+}
+
+#[test]
+fn a_difference_that_is_no_shorter_is_not_sent() {
+    let mut publisher = Publisher::new(Pacing::default());
+    publisher.publish(Version(1), json!({ "old": 1, "older": 1 }).to_string().parse().unwrap()).unwrap();
+    publisher.publish(Version(2), "{\"new\":1}".parse().unwrap()).unwrap();
+    let digest = publisher.history.digest(Version(1)).unwrap();
+    publisher.join(0, gateway(), Version(1), digest);
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(0, 2)]);
+}
+
+#[test]
+fn history_is_bounded_and_who_has_less_gets_the_whole() {
+    let versions = HISTORY_VERSIONS as u64 + 10;
+    let mut publisher = publisher(versions);
+    join(&mut publisher, 0, 10);
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(0, versions)]);
+    join(&mut publisher, SECOND_US, 11);
+    assert_eq!(ways(&configuration(&mut publisher, SECOND_US)), [(11, versions)]);
+}
+
+#[test]
+fn one_message_is_on_its_way_and_what_comes_up_meanwhile_is_merged() {
+    let mut publisher = publisher(1);
+    join(&mut publisher, 0, 1);
+    publisher.publish(Version(2), settings(2)).unwrap();
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(1, 2)]);
+    for version in 3..9 {
+        publisher.publish(Version(version), settings(version)).unwrap();
+        assert_eq!(ways(&configuration(&mut publisher, SECOND_US)), []);
+    }
+    applied(&mut publisher, 2);
+    assert_eq!(ways(&configuration(&mut publisher, SECOND_US)), [(2, 8)]);
+    applied(&mut publisher, 8);
+    assert_eq!(ways(&configuration(&mut publisher, 60 * SECOND_US)), []);
+    assert_eq!(publisher.status().gateways[0].version, Version(8));
+}
+
+#[test]
+fn a_gateway_has_a_rest_between_two_messages() {
+    let mut publisher = publisher(1);
+    join(&mut publisher, 0, 1);
+    publisher.publish(Version(2), settings(2)).unwrap();
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(1, 2)]);
+    applied(&mut publisher, 2);
+    publisher.publish(Version(3), settings(3)).unwrap();
+    let gap_us = Pacing::default().gap_us;
+    assert_eq!(ways(&configuration(&mut publisher, gap_us - 1)), []);
+    assert_eq!(publisher.next_due_us(), Some(gap_us));
+    assert_eq!(ways(&configuration(&mut publisher, gap_us)), [(2, 3)]);
+}
+
+#[test]
+fn a_message_without_a_report_is_sent_again_ever_more_seldom() {
+    let mut publisher = publisher(2);
+    join(&mut publisher, 0, 1);
+    let mut sent_s = Vec::new();
+    for second in 0..200 {
+        if !configuration(&mut publisher, second * SECOND_US).is_empty() {
+            sent_s.push(second);
+        }
+    }
+    assert_eq!(sent_s, [0, 3, 9, 21, 45, 93, 141, 189]);
+    publisher.publish(Version(3), settings(3)).unwrap();
+    assert_eq!(
+        ways(&configuration(&mut publisher, 200 * SECOND_US)),
+        [(1, 3)],
+        "a new one does not wait so long"
+    );
+}
+
+#[test]
+fn a_refused_version_is_not_sent_again_and_the_newest_good_one_is_sent() {
+    let mut publisher = publisher(6);
+    join(&mut publisher, 0, 3);
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(3, 6)]);
+    refused(&mut publisher, 6, 3);
+    assert_eq!(ways(&configuration(&mut publisher, SECOND_US)), [(3, 5)]);
+    applied(&mut publisher, 5);
+    assert_eq!(ways(&configuration(&mut publisher, 60 * SECOND_US)), []);
+    let status = publisher.status();
+    let refusals: Vec<_> = status.refusals().collect();
+    let refusal = RefusedVersion { version: Version(6), reason: "no".to_owned() };
+    assert_eq!(refusals, [(&gateway(), &refusal)]);
+    assert_eq!(status.behind().count(), 1);
+    publisher.publish(Version(7), settings(7)).unwrap();
+    assert_eq!(ways(&configuration(&mut publisher, 61 * SECOND_US)), [(5, 7)]);
+    applied(&mut publisher, 7);
+    assert_eq!(publisher.status().refusals().count(), 0);
+    assert_eq!(publisher.status().counts(), BTreeMap::from([(Version(7), 1)]));
+}
+
+#[test]
+fn reports_on_what_was_not_sent_on_this_stream_do_not_count() {
+    let mut publisher = publisher(3);
+    applied(&mut publisher, 3);
+    join(&mut publisher, 0, 1);
+    applied(&mut publisher, 3);
+    refused(&mut publisher, 3, 2);
+    assert_eq!(publisher.status().gateways[0].version, Version(1));
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(1, 3)]);
+    applied(&mut publisher, 2);
+    assert_eq!(publisher.status().gateways[0].version, Version(1));
+    applied(&mut publisher, 3);
+    assert_eq!(publisher.status().gateways[0].version, Version(3));
+}
+
+#[test]
+fn the_late_end_of_an_old_stream_does_not_end_the_new_one() {
+    let mut publisher = publisher(1);
+    let old = join(&mut publisher, 0, 0);
+    let new = join(&mut publisher, 0, 0);
+    publisher.leave(&gateway(), old);
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(0, 1)]);
+    publisher.leave(&gateway(), new);
+    assert_eq!((publisher.due(60 * SECOND_US), publisher.next_due_us()), (vec![], None));
+    assert!(!publisher.status().gateways[0].is_connected);
+}
+
+#[test]
+fn who_was_served_longest_ago_is_first_and_the_budget_holds() {
+    let messages_per_second = 100;
+    let mut publisher = Publisher::new(Pacing { bytes_per_second: u64::MAX, messages_per_second, gap_us: 0 });
+    for number in 0..50 {
+        publisher.join(0, GatewayId(format!("gw-{number:02}")), Version(0), Digest(0));
+    }
+    let mut served = BTreeMap::<GatewayId, usize>::new();
+    let mut now_us = 0;
+    for version in 1..=100 {
+        publisher.publish(Version(version), settings(version)).unwrap();
+        let until_us = now_us + SECOND_US / 10;
+        while now_us < until_us {
+            for (gateway, outgoing) in publisher.due(now_us) {
+                if matches!(Message::parse(&outgoing.text), Ok(Message::Current(_))) {
+                    continue;
+                }
+                *served.entry(gateway.clone()).or_default() += 1;
+                publisher.report(&gateway, Report::Applied { version: outgoing.version });
+            }
+            now_us += 1_000;
+        }
+    }
+    let total: usize = served.values().sum();
+    assert!((1_000..=1_002).contains(&total), "{total} in ten seconds");
+    assert!(served.len() == 50 && served.values().all(|count| (20..=21).contains(count)), "{served:?}");
+}
+
+#[test]
+fn heartbeats_tell_the_newest_version_at_once_and_then_regularly() {
+    let mut publisher = publisher(0);
+    assert_eq!(publisher.next_due_us(), None);
+    join(&mut publisher, 5, 0);
+    assert_eq!(publisher.next_due_us(), Some(5));
+    let current = |version: u64| Outgoing {
+        version: Version(version),
+        text: format!("{{\"current\":{version}}}").into(),
+    };
+    assert_eq!(publisher.due(5), [(gateway(), current(0))]);
+    assert_eq!(publisher.next_due_us(), Some(5 + HEARTBEAT_US));
+    assert_eq!(publisher.due(4 + HEARTBEAT_US), []);
+    assert_eq!(publisher.due(5 + HEARTBEAT_US), [(gateway(), current(0))]);
+}
+
+#[test]
+fn gateways_without_a_stream_are_forgotten_when_there_are_too_many() {
+    let mut publisher = publisher(1);
+    for number in 0..REMEMBERED_GATEWAYS + 1 {
+        let gateway = GatewayId(number.to_string());
+        let connection = publisher.join(0, gateway.clone(), Version(0), Digest(0));
+        if number > 0 {
+            publisher.leave(&gateway, connection);
+        }
+    }
+    let gateways = publisher.status().gateways;
+    let names: Vec<_> = gateways.iter().map(|gateway| gateway.gateway.0.as_str()).collect();
+    assert_eq!(names, ["0", &REMEMBERED_GATEWAYS.to_string()]);
+}
