--- a/configuration/src/publisher/tests.rs
+++ b/configuration/src/publisher/tests.rs
@@ -56,7 +56,7 @@
     assert_eq!(publisher.publish(Version(2), settings(2)), not_newer(2));
     assert_eq!(publisher.publish(Version(3), settings(4)), not_newer(3));
     assert_eq!(publisher.publish(Version(3), settings(3)), Ok(()), "once more the same");
-    assert_eq!(Publisher::new(Pacing::default()).publish(Version(0), settings(0)).is_err(), true);
+    assert!(Publisher::new(Pacing::default()).publish(Version(0), settings(0)).is_err());
     assert_eq!(publisher.newest(), Some((Version(3), &settings(3))));
 }
 
