--- a/configuration/src/publisher/history.rs
+++ b/configuration/src/publisher/history.rs
@@ -84,3 +84,6 @@
         Some(Message::Delta(Delta::between((from, base), (to, document))))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/configuration/src/publisher/tests.rs
+++ b/configuration/src/publisher/tests.rs
@@ -209,6 +209,37 @@
     assert_eq!(publisher.status().gateways[0].version, Version(3));
 }
 
+#[test]
+fn a_late_report_of_an_earlier_life_is_put_right_by_the_next_one() {
+    let mut publisher = publisher(3);
+    join(&mut publisher, 0, 1);
+    assert_eq!(ways(&configuration(&mut publisher, 0)), [(1, 3)]);
+    applied(&mut publisher, 3);
+    refused(&mut publisher, 3, 1);
+    let status = publisher.status();
+    assert_eq!((status.gateways[0].version, status.refusals().count()), (Version(1), 1));
+    assert_eq!(ways(&configuration(&mut publisher, SECOND_US)), [(1, 2)]);
+    applied(&mut publisher, 3);
+    let status = publisher.status();
+    assert_eq!((status.gateways[0].version, status.refusals().count()), (Version(3), 0));
+}
+
+#[test]
+fn refusals_are_bounded() {
+    let mut publisher = publisher(1);
+    join(&mut publisher, 0, 1);
+    for version in 2..200 {
+        publisher.publish(Version(version), settings(version)).unwrap();
+        configuration(&mut publisher, version * SECOND_US);
+        refused(&mut publisher, version, 1);
+        assert!(publisher.peers[&gateway()].refused.len() <= HISTORY_VERSIONS);
+    }
+    assert_eq!(
+        publisher.status().gateways[0].refused.as_ref().map(|refused| refused.version),
+        Some(Version(199))
+    );
+}
+
 #[test]
 fn the_late_end_of_an_old_stream_does_not_end_the_new_one() {
     let mut publisher = publisher(1);
--- a/configuration/src/subscriber/tests.rs
+++ b/configuration/src/subscriber/tests.rs
@@ -57,6 +57,8 @@
     for text in [snapshot(4), snapshot(5), delta(4, 5), delta(3, 4), snapshot(0)] {
         assert_eq!(subscriber.on_message(0, &text), Step::Nothing, "{text}");
     }
+    let none = Snapshot::of(Version::NONE, &settings(4));
+    assert_eq!(self::subscriber(0).on_message(0, &Message::Snapshot(none).encode()), Step::Nothing);
     assert_eq!(subscriber.on_message(0, &delta(5, 8)), take(8));
     for text in [snapshot(8), snapshot(7), delta(5, 8), delta(5, 7), delta(7, 8)] {
         assert_eq!(subscriber.on_message(0, &text), Step::Nothing, "{text}: 8 is on offer");
@@ -185,11 +187,11 @@
     assert_eq!(subscriber.next_attempt_us(), Some(0));
     let first = subscriber.machine();
     let mut waits = Vec::new();
-    for _ in 0..40 {
+    for nonsense in ["nonsense", &delta(3, 9)].iter().cycle().take(40) {
         subscriber.connected(0);
         assert_eq!(subscriber.next_attempt_us(), None);
         // A machine that accepts and talks nonsense is no success.
-        subscriber.on_message(0, "nonsense");
+        assert_eq!(subscriber.on_message(0, nonsense), Step::Resync);
         subscriber.disconnected(0);
         waits.extend(subscriber.next_attempt_us());
     }
--- /dev/null
+++ b/lab/src/configuration/report.rs
@@ -0,0 +1,154 @@
+//! The figures of all plays, as a table and as JSON.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::cost::{Cost, Memory};
+use super::fleet::Play;
+use super::scenario::Scenario;
+use super::settings::Size;
+use super::{LIMIT_BYTES_PER_S, LIMIT_CORE_PERCENT, LIMIT_MEMORY_BYTES, LIMIT_MS, MACHINES};
+use crate::spread::{Spread, histogram};
+
+/// All figures.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    /// The settings that changed.
+    size: Size,
+    /// Control machines.
+    machines: usize,
+    limit_ms: f64,
+    limit_core_percent: f64,
+    limit_memory_bytes: u64,
+    limit_bytes_per_s: f64,
+    /// In simulated time.
+    pub rows: Vec<Row>,
+    /// Measured.
+    memory: Memory,
+    /// Measured.
+    pub costs: Vec<Cost>,
+}
+
+/// A scenario on a fleet, all its plays together.
+#[derive(Debug, Serialize)]
+pub struct Row {
+    scenario: Scenario,
+    /// Gateways of the fleet.
+    pub gateways: usize,
+    plays: usize,
+    /// From publication until a gateway has the version.
+    each: Spread,
+    /// From publication until all gateways have it.
+    pub all: Spread,
+    /// Versions that not all gateways had a minute later.
+    pub missed: u64,
+    refused: u64,
+    /// Of the gateway with the most, in the mean of a play; in the worst play.
+    pub gateway_bytes_per_s: f64,
+    gateway_peak_bytes: u64,
+    /// Of the machine with the most, as above.
+    machine_bytes_per_s: f64,
+    machine_peak_bytes: u64,
+}
+
+impl Row {
+    /// Adds plays up.
+    pub fn new(scenario: Scenario, gateways: usize, plays: impl Iterator<Item = Play>) -> Self {
+        let (mut each, mut all) = (histogram(), histogram());
+        let mut row = Self {
+            scenario,
+            gateways,
+            plays: 0,
+            each: Spread::default(),
+            all: Spread::default(),
+            missed: 0,
+            refused: 0,
+            gateway_bytes_per_s: 0.0,
+            gateway_peak_bytes: 0,
+            machine_bytes_per_s: 0.0,
+            machine_peak_bytes: 0,
+        };
+        for play in plays {
+            // All histograms have the same bounds.
+            let _ = each.add(&play.each);
+            let _ = all.add(&play.all);
+            row.plays += 1;
+            row.missed += play.missed;
+            row.refused += play.refused;
+            row.gateway_bytes_per_s = row.gateway_bytes_per_s.max(play.gateway_bytes_per_s);
+            row.gateway_peak_bytes = row.gateway_peak_bytes.max(play.gateway_peak_bytes);
+            row.machine_bytes_per_s = row.machine_bytes_per_s.max(play.machine_bytes_per_s);
+            row.machine_peak_bytes = row.machine_peak_bytes.max(play.machine_peak_bytes);
+        }
+        (row.each, row.all) = (Spread::from(&each), Spread::from(&all));
+        row
+    }
+
+    fn name(&self) -> String {
+        serde_json::to_value(self.scenario)
+            .ok()
+            .and_then(|name| Some(name.as_str()?.to_owned()))
+            .unwrap_or_default()
+    }
+}
+
+impl Figures {
+    /// No figures yet.
+    pub fn new(size: Size, memory: Memory) -> Self {
+        Self {
+            size,
+            machines: MACHINES,
+            limit_ms: LIMIT_MS,
+            limit_core_percent: LIMIT_CORE_PERCENT,
+            limit_memory_bytes: LIMIT_MEMORY_BYTES,
+            limit_bytes_per_s: LIMIT_BYTES_PER_S,
+            rows: Vec::new(),
+            memory,
+            costs: Vec::new(),
+        }
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "Until a version is in force, in ms of simulated time; limit {} ms", self.limit_ms)?;
+        writeln!(
+            f,
+            "| scenario | gateways | versions | one: p50 | p99 | worst | all: p50 | p99 | worst | missed | \
+             gateway bytes/s | worst second | machine bytes/s | worst second |"
+        )?;
+        writeln!(f, "|{}", " --- |".repeat(14))?;
+        self.rows.iter().try_for_each(|row| write_row(f, row))?;
+        let Memory { subscriber_bytes, publisher_bytes } = self.memory;
+        writeln!(
+            f,
+            "\nMemory, measured: a gateway {subscriber_bytes} bytes, a machine {publisher_bytes} bytes"
+        )?;
+        writeln!(f, "\nProcessor time, measured; limit {LIMIT_CORE_PERCENT}% of a core at a gateway")?;
+        writeln!(
+            f,
+            "| gateways | whole, bytes | difference, bytes | gateway: difference, us | whole, us | heartbeat, us | \
+             % of a core | % were the whole sent | machine: gateways | change, us | % of a core |"
+        )?;
+        writeln!(f, "|{}", " --- |".repeat(11))?;
+        self.costs.iter().try_for_each(|cost| write_cost(f, cost))
+    }
+}
+
+fn write_row(f: &mut fmt::Formatter<'_>, row: &Row) -> fmt::Result {
+    let (each, all) = (&row.each, &row.all);
+    write!(f, "| {} | {} | {} ", row.name(), row.gateways, all.count)?;
+    write!(f, "| {:.0} | {:.0} | {:.0} ", each.p50_ms, each.p99_ms, each.max_ms)?;
+    write!(f, "| {:.0} | {:.0} | {:.0} | {} ", all.p50_ms, all.p99_ms, all.max_ms, row.missed)?;
+    write!(f, "| {:.0} | {} ", row.gateway_bytes_per_s, row.gateway_peak_bytes)?;
+    writeln!(f, "| {:.0} | {} |", row.machine_bytes_per_s, row.machine_peak_bytes)
+}
+
+fn write_cost(f: &mut fmt::Formatter<'_>, cost: &Cost) -> fmt::Result {
+    write!(f, "| {} | {} | {:.0} ", cost.gateways, cost.snapshot_bytes, cost.delta_bytes)?;
+    write!(f, "| {:.1} | {:.1} ", cost.subscriber_delta_us, cost.subscriber_snapshot_us)?;
+    write!(f, "| {:.2} | {:.5} ", cost.subscriber_heartbeat_us, cost.subscriber_core_percent)?;
+    write!(f, "| {:.5} | {} ", cost.subscriber_whole_core_percent, cost.machine_gateways)?;
+    writeln!(f, "| {:.1} | {:.5} |", cost.publisher_change_us, cost.publisher_core_percent)
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments on the gateway. Everything binds to loopback and stops by itself.
 
 mod classes;
+mod configuration;
 mod engines;
 mod fleet;
 mod helper;
@@ -38,6 +39,8 @@
     Idle(idle::Options),
     /// What became of each class over a fleet, from its gateways' logs at debug.
     Classes(classes::Options),
+    /// How long changes of the configuration take to reach a fleet, and what they cost.
+    Configuration(configuration::Options),
     /// What a fleet does to its engines, from its gateways' logs at debug.
     Engines(engines::Options),
     /// Opens and holds sessions for `idle`, by commands on its standard input.
@@ -75,6 +78,7 @@
     match Arguments::parse().command {
         Command::Idle(options) => idle::run(&options),
         Command::Classes(options) => classes::run(&options),
+        Command::Configuration(options) => configuration::run(&options),
         Command::Engines(options) => engines::run(&options),
         Command::Helper { address, source, front, connections } => {
             helper::run(address, source, front, connections)
