--- a/configuration/src/publisher/peer.rs
+++ b/configuration/src/publisher/peer.rs
@@ -5,9 +5,12 @@
 
 use super::{Connection, HISTORY_VERSIONS};
 
-/// A message without a report is sent again after this; each further time after twice as long. Microseconds.
+/// A message without a report is sent again after this; from the fourth time on after twice as long each. Microseconds.
 pub const REPORT_TIMEOUT_US: u64 = 3_000_000;
 
+/// So often a message is sent before the waits grow: within 11 s, three in a row may be lost.
+const TRIES_IN_STEP: u32 = 3;
+
 /// The longest wait for a report. Microseconds.
 pub const REPORT_TIMEOUT_MOST_US: u64 = 48_000_000;
 
@@ -34,7 +37,8 @@
 impl Offer {
     /// When something may be sent again. Another version does not wait for the longer waits of this one.
     fn over_us(&self, target: Version) -> u64 {
-        let doublings = if self.version == target { self.tries.saturating_sub(1).min(16) } else { 0 };
+        let doublings =
+            if self.version == target { self.tries.saturating_sub(TRIES_IN_STEP).min(16) } else { 0 };
         let wait_us = (REPORT_TIMEOUT_US << doublings).min(REPORT_TIMEOUT_MOST_US);
         self.sent_us.saturating_add(wait_us)
     }
--- a/configuration/src/publisher/tests.rs
+++ b/configuration/src/publisher/tests.rs
@@ -164,7 +164,7 @@
             sent_s.push(second);
         }
     }
-    assert_eq!(sent_s, [0, 3, 9, 21, 45, 93, 141, 189]);
+    assert_eq!(sent_s, [0, 3, 6, 9, 15, 27, 51, 99, 147, 195]);
     publisher.publish(Version(3), settings(3)).unwrap();
     assert_eq!(
         ways(&configuration(&mut publisher, 200 * SECOND_US)),
