--- a/lab/src/configuration/cost.rs
+++ b/lab/src/configuration/cost.rs
@@ -14,11 +14,14 @@
 use super::{CHANGES_PER_DAY, MACHINES, SECOND_US};
 use crate::fleet::{resident_bytes, spent};
 
-/// Changes that are measured.
-const CHANGES: usize = 400;
+/// Changes that are measured: the kernel counts processor time by ticks of some milliseconds.
+const CHANGES: usize = 2_000;
+
+/// Heartbeats to each gateway that are measured.
+const HEARTBEAT_ROUNDS: u64 = 2_000;
 
 /// Heartbeats that are measured.
-const HEARTBEATS: usize = 100_000;
+const HEARTBEATS: usize = 1_000_000;
 
 /// Subscribers whose memory is measured together.
 const COPIES: usize = 64;
@@ -177,7 +180,7 @@
     for number in 0..gateways {
         publisher.join(0, GatewayId(format!("gateway-{number:04}")), *first, document.digest());
     }
-    let heartbeats_us = HEARTBEAT_US * 20;
+    let heartbeats_us = HEARTBEAT_US * HEARTBEAT_ROUNDS;
     let mut now_us = 0;
     let before_us = cpu_us()?;
     run_until(&mut publisher, &mut now_us, heartbeats_us)?;
