--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,3 +1,4 @@
 //! Experiments on the gateway, as a library for their tests.
 
 pub mod capacity;
+pub mod hollow;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -45,6 +45,8 @@
     Engines(engines::Options),
     /// What the gateway costs by size, and the page that holds it against a target.
     Capacity(wrenhatch_lab::capacity::Options),
+    /// What control costs a fleet, without its clients' traffic.
+    Hollow(wrenhatch_lab::hollow::Options),
     /// Opens and holds sessions for `idle`, by commands on its standard input.
     #[command(hide = true)]
     Helper {
@@ -83,6 +85,7 @@
         Command::Configuration(options) => configuration::run(&options),
         Command::Engines(options) => engines::run(&options),
         Command::Capacity(options) => Ok(wrenhatch_lab::capacity::run(&options)?),
+        Command::Hollow(options) => Ok(wrenhatch_lab::hollow::run(&options)?),
         Command::Helper { address, source, front, connections } => {
             helper::run(address, source, front, connections)
         }
