--- a/configuration/src/message.rs
+++ b/configuration/src/message.rs
@@ -84,7 +84,7 @@
     pub from: Version,
     /// What it leads to.
     pub to: Version,
-    /// The changes: see [`patch`](crate::LIST_MEMBER) for lists, RFC 7396 for the rest.
+    /// The changes: by RFC 7396, and by name where [`LIST_MEMBER`](crate::LIST_MEMBER) marks a list.
     pub patch: Value,
     /// The digest of the result, as the sender says.
     pub digest: Digest,
--- a/lab/src/configuration/cost.rs
+++ b/lab/src/configuration/cost.rs
@@ -178,7 +178,9 @@
     let (first, document) = &versions[0];
     publisher.publish(*first, document.clone())?;
     for number in 0..gateways {
-        publisher.join(0, GatewayId(format!("gateway-{number:04}")), *first, document.digest());
+        // Spread, so that heartbeats don't fall together.
+        let joins_us = HEARTBEAT_US * number as u64 / gateways as u64;
+        publisher.join(joins_us, GatewayId(format!("gateway-{number:04}")), *first, document.digest());
     }
     let heartbeats_us = HEARTBEAT_US * HEARTBEAT_ROUNDS;
     let mut now_us = 0;
