Take over other settings in the decision module between two events

Change: `Gateway::reconfigure` takes a `Change`: settings, and for each class whether it is kept, follows another, is new or retired. Numbers of classes stay, so that requests and attempts keep the class that they came with; classes that go on keep their views, engines their loops and health. C and its ceiling keep their size in times of the gateway's share, and cores and memory are those of the new kinds. `new` goes the same way. An attempt notes whether its class was a dashboard when it was sent, as that may change while it is out; a request's key is stripped on arrival where its class keeps no order, as that may change too.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,23 +4,23 @@
 //! anywhere and only moves forward. Ids are handed back unchanged and carry no meaning.
 
 /// A request's id, never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
 /// An engine's id: the same after its process restarts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EngineId(pub u32);
 
 /// Index into [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClassId(pub usize);
 
 /// Index into [`Settings::kinds`]; an index past its end is a kind the settings do not describe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct KindId(pub usize);
 
 /// A zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub usize);
 
 /// Index into [`Settings::tenants`].
@@ -213,6 +213,30 @@
     pub resolution: f64,
 }
 
+/// Where a class of other settings comes from, for a [`Change`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClassOrigin {
+    /// It is the one that had this id, unchanged.
+    Kept,
+    /// It follows the class that had this other id, with changes; what was learned of that one is its start.
+    Follows(ClassId),
+    /// Nothing is known of it.
+    New,
+    /// No new request has it any more; requests that came with it keep it.
+    Retired,
+}
+
+impl ClassOrigin {
+    /// The id of the class of the old settings of which something was learned, for the class of this id.
+    pub fn learned_by(self, class: ClassId) -> Option<ClassId> {
+        match self {
+            ClassOrigin::Kept | ClassOrigin::Retired => Some(class),
+            ClassOrigin::Follows(from) => Some(from),
+            ClassOrigin::New => None,
+        }
+    }
+}
+
 /// Why settings were not accepted.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum SettingsError {
@@ -222,6 +246,9 @@
     /// There is no gateway.
     #[error("settings say there are no gateways")]
     NoGateways,
+    /// It is not said of each class where it comes from, or one comes from none that there was.
+    #[error("the origins do not fit the classes")]
+    BadOrigins,
     /// A figure is negative or not a number.
     #[error("{what} is {value}, which is negative or not a number")]
     BadFigure {
@@ -233,18 +260,19 @@
 }
 
 /// Whether an engine may be sent new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EngineState {
     /// It may.
     Ready,
     /// It is finishing its work.
     Draining,
     /// It has left.
+    #[default]
     Gone,
 }
 
 /// One engine as the list has it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineEntry {
     /// Which engine.
     pub engine: EngineId,
@@ -274,7 +302,7 @@
 }
 
 /// A request taken from a client.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
@@ -474,7 +502,45 @@
     Subscribe,
 }
 
+/// Other settings in service. Ids of classes stay what they were; there may be more of them, never fewer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The settings.
+    pub settings: Settings,
+    /// For each class of the settings, where it comes from.
+    pub origins: Vec<ClassOrigin>,
+}
+
+impl Change {
+    /// The classes that new requests may have.
+    pub fn in_force(&self) -> Vec<&Class> {
+        let classes = self.settings.classes.iter().zip(&self.origins);
+        classes.filter(|(_, origin)| **origin != ClassOrigin::Retired).map(|(class, _)| class).collect()
+    }
+
+    /// Checks the settings, and that each class comes from one of `known` earlier classes or is new.
+    ///
+    /// # Errors
+    /// The first thing found that no gateway could act on.
+    pub fn check(&self, known: usize) -> Result<(), SettingsError> {
+        let learned = |(at, origin): (usize, &ClassOrigin)| origin.learned_by(ClassId(at));
+        let all_known = self.origins.iter().enumerate().filter_map(learned).all(|from| from.0 < known);
+        if self.origins.len() != self.settings.classes.len() || self.origins.len() < known || !all_known {
+            return Err(SettingsError::BadOrigins);
+        }
+        self.settings.check()
+    }
+}
+
 impl Settings {
+    /// A machine of this kind. One that is not described has the cores of the first kind, a core at the least, and
+    /// memory that is not known.
+    pub fn machine(&self, kind: KindId) -> Kind {
+        let described = self.kinds.get(kind.0);
+        let cores = described.or_else(|| self.kinds.first()).map_or(1.0, |k| k.cores).max(1.0);
+        Kind { cores, memory_mb: described.map_or(0.0, |k| k.memory_mb) }
+    }
+
     /// Checks that the figures make sense.
     ///
     /// # Errors
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,12 +53,13 @@
 
 /// Which classes are dashboards, from settings alone: of those that are no loads, the ones with the fewest
 /// threads whose aim is within twice the shortest. One that fills the smallest machine alone is never light.
-fn dashboards(s: &Settings) -> Vec<bool> {
+fn dashboards(change: &Change) -> Vec<bool> {
+    let (s, in_force) = (&change.settings, change.in_force());
     let cores = s.kinds.iter().map(|k| k.cores).fold(f64::INFINITY, f64::min);
     let light = |c: &&Class| !c.load && f64::from(c.threads) < cores.max(2.0);
-    let threads = s.classes.iter().filter(light).map(|c| c.threads).min();
+    let threads = in_force.iter().copied().filter(light).map(|c| c.threads).min();
     let fewest = |c: &&Class| light(c) && Some(c.threads) == threads;
-    let aim = s.classes.iter().filter(fewest).map(|c| c.aim).fold(f64::INFINITY, f64::min);
+    let aim = in_force.iter().copied().filter(fewest).map(|c| c.aim).fold(f64::INFINITY, f64::min);
     s.classes.iter().map(|c| fewest(&c) && c.aim <= 2.0 * aim).collect()
 }
 
@@ -95,20 +96,18 @@
         Self { cores, error_sum, threshold: start, opened: now, ceiling: 2.0 * start, ..Self::default() }
     }
 
+    /// Other terms or another size of the engine: C and its ceiling stay the same times its start.
+    fn rescale(&mut self, cores: f64, old: &LoopTerms, t: &LoopTerms) {
+        let times = cores * t.start / (self.cores * old.start);
+        self.error_sum *= times * (old.gain * self.cores) / (t.gain * cores);
+        (self.threshold, self.ceiling, self.cores) = (times * self.threshold, times * self.ceiling, cores);
+    }
+
     /// Floor and step of C: a thread, or half of a share that is smaller than two.
     fn unit(&self, t: &LoopTerms) -> f64 {
         (0.5 * t.start * self.cores).min(1.0)
     }
 
-    /// Calculate and manipulate: E = E + (RS - R), C = max(unit, KI E). E stops where C does, at both
-    /// ends (anti-windup): an outside slowdown would else hold C low, and a quiet spell above the peak.
-    fn manipulate(&mut self, error: f64, t: &LoopTerms) {
-        let (start, gain) = (self.cores * t.start, self.cores * t.gain);
-        self.ceiling = self.ceiling.clamp(start, CEILING * start);
-        self.error_sum = (self.error_sum + error).clamp(self.unit(t) / gain, self.ceiling / gain);
-        self.threshold = gain * self.error_sum;
-    }
-
     /// Closes the control interval if it is over. With fewer than q completions, which are noise, R is filled
     /// up to q with the mean over all engines.
     fn close(&mut self, now: f64, p: &Pool, fullness: f64, t: &LoopTerms) {
@@ -134,7 +133,12 @@
         let raise = if self.used > 0.7 * self.ceiling { self.unit(t) } else { 0.0 };
         self.used = 0.0;
         self.ceiling = if r > t.objective { 0.5 * self.ceiling } else { self.ceiling + raise };
-        self.manipulate(t.objective - r, t);
+        // Calculate and manipulate: E = E + (RS - R), C = max(unit, KI E). E stops where C does, at both
+        // ends (anti-windup): an outside slowdown would else hold C low, and a quiet spell above the peak.
+        let (start, gain) = (self.cores * t.start, self.cores * t.gain);
+        self.ceiling = self.ceiling.clamp(start, CEILING * start);
+        self.error_sum = (self.error_sum + (t.objective - r)).clamp(self.unit(t) / gain, self.ceiling / gain);
+        self.threshold = gain * self.error_sum;
     }
 }
 
@@ -179,6 +183,7 @@
     }
 }
 
+#[derive(Default)]
 struct Engine {
     entry: EngineEntry,
     feedback: Loop,
@@ -244,6 +249,7 @@
     }
 }
 
+#[derive(Clone)]
 struct ClassView {
     dashboard: bool,
     memory_mb: f64,
@@ -253,6 +259,12 @@
 }
 
 impl ClassView {
+    fn new(c: &Class, s: &Settings) -> Self {
+        let work = c.aim * f64::from(c.threads);
+        let lowest = if s.allowed.reports == Reports::None { 1.0 } else { f64::INFINITY };
+        Self { dashboard: false, memory_mb: 0.0, work, latency: 0.5 * c.aim, times: (0.0, lowest) }
+    }
+
     /// The work that a cold engine is charged for; estimates may lie, the time it took bounds it.
     fn weight(&self, c: &Class) -> f64 {
         self.work.min(self.latency * f64::from(c.threads))
@@ -265,26 +277,22 @@
     place: u64,
     size: f64, // Its estimate, in times its class's mean.
     attempts: u32,
-    out: bool,                             // An attempt is out.
     withdrawn: bool,                       // An attempt was taken back for its pace.
     erred: Option<EngineId>,               // Which engine has answered it with an error.
     may_have_run: Option<(EngineId, f64)>, // Where the first attempt that may have run went, and when.
 }
 
 struct Attempt {
+    request: Request,
+    dashboard: bool, // As its class was when it was sent.
     engine: EngineId,
-    class: ClassId,
     sent: f64,
     heard: f64, // When the last news of it came, and the last that told more than that it goes on.
     noted: f64,
     stuck: bool, // It stands still.
-    key: Option<KeyId>,
-    group: Option<GroupId>,
     spell: u32,
-    need_mb: f64,
     due: f64,     // How long it should take on an engine that is neither jammed nor ill.
     charged: f64, // Seconds that the pool was charged for.
-    work: f64,    // Its estimate, or none.
 }
 
 /// The line of one key: requests in order, attempts out, until when whose attempts rest.
@@ -374,25 +382,14 @@
     /// # Errors
     /// Settings that no gateway could act on.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        settings.check()?;
-        let light = dashboards(&settings);
-        let view = |(c, dashboard): (&Class, &bool)| ClassView {
-            dashboard: *dashboard,
-            memory_mb: 0.0,
-            work: c.aim * f64::from(c.threads),
-            latency: 0.5 * c.aim,
-            times: (0.0, if settings.allowed.reports == Reports::None { 1.0 } else { f64::INFINITY }),
-        };
-        let classes: Vec<_> = settings.classes.iter().zip(&light).map(view).collect();
-        let aims = settings.classes.iter().zip(&light).filter(|(_, d)| **d).map(|(c, _)| c.aim);
-        let objective = aims.fold(f64::INFINITY, f64::min);
-        let objective = if objective.is_finite() { objective.max(1e-3) } else { 1.0 };
-        Ok(Self {
-            pooled: Pool { pace: 1.0, mean: objective, ..Pool::default() },
+        let origins = vec![ClassOrigin::New; settings.classes.len()];
+        let mut gateway = Self {
+            s: settings.clone(),
             rng: Pcg32::seed_from_u64(seed),
-            classes,
-            objective,
-            light: objective,
+            classes: Vec::new(),
+            objective: f64::INFINITY,
+            light: f64::INFINITY,
+            pooled: Pool { pace: 1.0, ..Pool::default() },
             engines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -401,8 +398,36 @@
             keys: BTreeMap::new(),
             taken: VecDeque::new(),
             extra: VecDeque::new(),
-            s: settings,
-        })
+        };
+        gateway.reconfigure(Change { settings, origins })?;
+        gateway.pooled.mean = gateway.objective;
+        Ok(gateway)
+    }
+
+    /// Takes over other settings between two events. What was learned stays, as do the classes of requests.
+    ///
+    /// # Errors
+    /// Settings that no gateway could act on: the old ones stay.
+    pub fn reconfigure(&mut self, change: Change) -> Result<(), SettingsError> {
+        change.check(self.classes.len())?;
+        let (old, dashboards, mut views) = (self.loop_terms(), dashboards(&change), Vec::new());
+        let s = change.settings;
+        for (at, (class, dashboard)) in s.classes.iter().zip(dashboards).enumerate() {
+            let learned = change.origins[at].learned_by(ClassId(at)).map(|from| self.classes[from.0].clone());
+            views.push(ClassView { dashboard, ..learned.unwrap_or_else(|| ClassView::new(class, &s)) });
+        }
+        let aims = s.classes.iter().zip(&views).filter(|(_, view)| view.dashboard).map(|(c, _)| c.aim);
+        let objective = aims.fold(f64::INFINITY, f64::min);
+        self.objective = if objective.is_finite() { objective.max(1e-3) } else { 1.0 };
+        self.light = self.light.min(self.objective);
+        (self.s, self.classes) = (s, views);
+        let terms = self.loop_terms();
+        for e in self.engines.values_mut() {
+            let kind = self.s.machine(e.entry.kind);
+            e.memory_mb = kind.memory_mb;
+            e.feedback.rescale(kind.cores, &old, &terms);
+        }
+        Ok(())
     }
 
     /// Takes one event; what is to be done about it is added to `actions`.
@@ -418,7 +443,7 @@
             Event::Aborted(id) => self.forget(*id, actions),
             Event::Timer(LOOK_TOKEN) => self.look(now, actions),
             Event::Timer(ASK_TOKEN) => actions.push(Action::Subscribe),
-            Event::Timer(token) => self.give_up(RequestId(token - 1), None, actions),
+            Event::Timer(token) => self.give_up(RequestId(token - 1), false, actions),
             Event::Noted { request, attempt, note } => self.noted(now, (*request, *attempt), *note, actions),
             Event::Probed { engine, report, .. } => self.reported(now, *engine, report.as_ref()),
             Event::Started { .. } => {}
@@ -448,17 +473,13 @@
                 _ => self.meet(now, entry),
             }
         }
-        self.prune();
         self.count_pool(now);
     }
 
-    /// Forgets engines that have gone once no attempt is out there: else their number grows for good.
-    fn prune(&mut self) {
-        self.engines.retain(|_, e| e.entry.state != EngineState::Gone || e.threads > 0.0);
-    }
-
-    /// Counts the engines that may be sent to and adds up their C.
+    /// Counts the engines that may be sent to and adds up their C. Those that have gone are forgotten once no
+    /// attempt is out there: else their number grows for good.
     fn count_pool(&mut self, now: f64) {
+        self.engines.retain(|_, e| e.entry.state != EngineState::Gone || e.threads > 0.0);
         // The working set: the first fit engines in this gateway's own order, as many as it has requests for.
         let life = now - self.pooled.started.unwrap_or(now);
         let rate = if life < INTERVAL_CAP { f64::INFINITY } else { self.arrivals as f64 / life };
@@ -500,27 +521,21 @@
 
     /// A new engine, or one that has restarted. It gets little until it has answered: the list may be stale.
     fn meet(&mut self, now: f64, entry: &EngineEntry) {
-        let known = self.s.kinds.get(entry.kind.0);
-        let memory_mb = known.map_or(0.0, |k| k.memory_mb);
-        let cores = known.or_else(|| self.s.kinds.first()).map_or(1.0, |k| k.cores).max(1.0);
+        let Kind { cores, memory_mb } = self.s.machine(entry.kind);
         let feedback = Loop::new(now, cores, &self.loop_terms());
-        let (limit, spread) = (Some(WELL / 4), 0.5 + self.chance());
+        let (limit, spread) = (Some(WELL / 4), 0.5 + fraction(self.rng.next_u32()));
         let health = Health { limit, last_answer: now, spread, ..Health::default() };
         let fresh = Engine {
             entry: entry.clone(),
             feedback,
             health,
-            threads: 0.0,
-            secondary: 0.0,
-            fullness: None,
             memory_mb,
-            need_mb: 0.0,
             pace: (1.0, now),
             stuck: (0.0, now),
             order: self.rng.next_u32() / if self.s.zone == Some(entry.zone) { 2 } else { 1 },
             working: true,
             part: 1.0,
-            cold_sends: VecDeque::new(),
+            ..Engine::default()
         };
         let old = self.engines.insert(entry.engine, fresh);
         if let (Some(old), Some(e)) = (old, self.engines.get_mut(&entry.engine)) {
@@ -545,37 +560,30 @@
         let work = request.estimate.map_or(*mean, |work| work.min(HEAVY * *mean));
         let size = work / mean.max(1e-6);
         *mean += NEWEST * (work - *mean);
-        if let Some(key) = self.key_of(request) {
+        let key = request.key.filter(|_| self.s.classes[request.class.0].keep_order);
+        if let Some(key) = key {
             self.keys.entry(key).or_default().order.push_back(request.id);
         }
         // The end is planned at once, whatever becomes of attempts, lists and other timers.
         let delay = (request.deadline - self.s.resolution - now).max(0.0);
         actions.push(Action::SetTimer { delay, token: request.id.0 + 1, of: Some(request.id) });
-        let (request, place) = (request.clone(), self.arrivals);
+        let (request, place) = (Request { key, ..request.clone() }, self.arrivals);
         self.held.insert(place, request.id);
-        let (attempts, out, withdrawn, erred, may_have_run) = (0, false, false, None, None);
-        let job = Job { request, arrived: now, place, size, attempts, out, withdrawn, erred, may_have_run };
+        let (attempts, withdrawn, erred, may_have_run) = (0, false, None, None);
+        let job = Job { request, arrived: now, place, size, attempts, withdrawn, erred, may_have_run };
         self.jobs.insert(job.request.id, job);
     }
 
-    fn chance(&mut self) -> f64 {
-        fraction(self.rng.next_u32())
-    }
-
-    fn key_of(&self, request: &Request) -> Option<KeyId> {
-        request.key.filter(|_| self.s.classes[request.class.0].keep_order)
-    }
-
     /// The final answer to one not served: refused where trying again is harmless, else failed.
-    fn give_up(&mut self, id: RequestId, retry_after: Option<f64>, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, id: RequestId, advises: bool, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let ran = job.out || job.may_have_run.is_some();
+        let ran = !self.held.contains_key(&job.place) || job.may_have_run.is_some();
         let effect = self.s.classes[job.request.class.0].effect;
         if !ran || matches!(effect, Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. }) {
             // Spread, so that clients do not come back in step.
-            let spread = 0.5 + 0.5 * self.chance();
-            let wait = retry_after.filter(|_| self.s.allowed.retry_after);
-            let retry_after = wait.map(|w| spread * w.min(self.s.allowed.max_retry_after));
+            let spread = 0.5 + 0.5 * fraction(self.rng.next_u32());
+            let wait = spread * self.s.allowed.max_retry_after;
+            let retry_after = (advises && self.s.allowed.retry_after).then_some(wait);
             actions.push(Action::Refuse { request: id, retry_after });
         } else {
             actions.push(Action::Fail(id));
@@ -591,20 +599,18 @@
         }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.held.remove(&job.place);
-        if let Some(line) = self.key_of(&job.request).and_then(|k| self.keys.get_mut(&k)) {
+        if let Some(line) = job.request.key.and_then(|k| self.keys.get_mut(&k)) {
             line.order.retain(|r| *r != id);
         }
     }
 
     fn ended(&mut self, now: f64, event: &Event, actions: &mut Vec<Action>) {
-        let &Event::Ended { request: id, attempt, engine, outcome, elapsed, settled, .. } = event else {
-            return;
-        };
-        let &Event::Ended { may_run_for, cost, report, .. } = event else { return };
+        let &Event::Ended { request: id, attempt, engine, outcome, elapsed, .. } = event else { return };
+        let &Event::Ended { settled, may_run_for, cost, report, .. } = event else { return };
         self.reported(now, engine, report.as_ref());
         let Some(attempt) = self.attempts.remove(&(id, attempt)) else { return };
         let may_run = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn);
-        if let Some(line) = attempt.key.and_then(|k| self.keys.get_mut(&k)) {
+        if let Some(line) = attempt.request.key.and_then(|k| self.keys.get_mut(&k)) {
             line.out -= 1;
             if may_run {
                 line.rest = Some((now + may_run_for + self.s.rules.order_pause, id));
@@ -629,13 +635,12 @@
             return self.forget(id, actions);
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.out = false;
         if (may_run || outcome == Outcome::Failure) && job.may_have_run.is_none() {
             job.may_have_run = Some((attempt.engine, attempt.sent));
         }
         self.held.insert(job.place, id);
         if !self.another_may_follow(&self.jobs[&id], now) {
-            self.give_up(id, None, actions);
+            self.give_up(id, false, actions);
         }
     }
 
@@ -649,8 +654,9 @@
         if let Some(e) = self.engines.get_mut(&a.engine) {
             e.health.last_answer = now;
         }
-        let (Note::Progress(share), engine, class, sent) = (note, a.engine, a.class, a.sent) else { return };
-        let times = (now - sent) * f64::from(self.s.classes[class.0].threads) / (a.work * share);
+        let (Note::Progress(share), engine, class) = (note, a.engine, a.request.class) else { return };
+        let work = a.request.estimate.unwrap_or(0.0);
+        let times = (now - a.sent) * f64::from(self.s.classes[class.0].threads) / (work * share);
         if share > TOLD {
             self.paced(now, engine, class, times);
         }
@@ -658,16 +664,16 @@
         let age = now - a.sent;
         let left = age * (1.0 - share) / share.max(1e-3);
         // On an engine whose dashboards are slow all is slow, and a withdrawn attempt is work lost in a jam.
-        let usual = (self.pooled.mean / self.light).max(1.0) * self.classes[a.class.0].latency;
+        let usual = (self.pooled.mean / self.light).max(1.0) * self.classes[class.0].latency;
         let runaway = left > RUNAWAY * usual && !job.withdrawn;
         let hopeless = now + left > job.request.deadline + age && job.withdrawn;
-        let repeatable = self.s.classes[a.class.0].effect == Effect::Safe;
+        let repeatable = self.s.classes[class.0].effect == Effect::Safe;
         if !(self.s.allowed.cancel && repeatable && (runaway || hopeless)) {
             return;
         }
         job.withdrawn = true;
         if hopeless {
-            self.give_up(which.0, None, actions);
+            self.give_up(which.0, false, actions);
         } else {
             actions.push(Action::Cancel { request: which.0, attempt: which.1 });
         }
@@ -723,18 +729,19 @@
 
     /// What an outcome tells of the engine and of the class.
     fn learn(&mut self, now: f64, attempt: &Attempt, outcome: Outcome, elapsed: f64, cost: Option<Cost>) {
-        let threads = f64::from(self.s.classes[attempt.class.0].threads);
+        let (class, need_mb) = (attempt.request.class, attempt.request.need_mb.unwrap_or(0.0));
+        let threads = f64::from(self.s.classes[class.0].threads);
         if outcome == Outcome::Success {
-            let work = cost.map_or(attempt.work, |cost| cost.work);
-            self.paced(now, attempt.engine, attempt.class, elapsed * threads / work);
+            let work = cost.map_or(attempt.request.estimate.unwrap_or(0.0), |cost| cost.work);
+            self.paced(now, attempt.engine, class, elapsed * threads / work);
         }
-        let (terms, view) = (self.loop_terms(), &mut self.classes[attempt.class.0]);
+        let (terms, view) = (self.loop_terms(), &mut self.classes[class.0]);
         let Some(e) = self.engines.get_mut(&attempt.engine) else { return };
         e.threads -= threads;
-        e.need_mb -= attempt.need_mb;
-        self.pooled.need_mb -= attempt.need_mb;
+        e.need_mb -= need_mb;
+        self.pooled.need_mb -= need_mb;
         self.pooled.threads -= threads;
-        if !view.dashboard {
+        if !attempt.dashboard {
             e.secondary -= threads;
             self.pooled.secondary -= threads;
             self.pooled.charge(threads * (elapsed - attempt.charged));
@@ -749,7 +756,7 @@
             let sample = (elapsed / view.latency.max(1e-6)).clamp(cut, 2.0 * SLOW_FACTOR);
             let pace = e.pace(now);
             e.pace = (pace + PACE_NEWEST * (sample - pace), now);
-            if view.dashboard {
+            if attempt.dashboard {
                 let took = elapsed.max(cut * self.pooled.mean);
                 e.feedback.completed += 1;
                 e.feedback.latency_sum += took;
@@ -796,14 +803,14 @@
         if !self.attempts.is_empty() {
             let (out, p) = (self.attempts.len() as f64, &mut self.pooled);
             p.width += NEWEST * (p.threads / out - p.width);
-            let memory: f64 = self.attempts.values().map(|a| self.classes[a.class.0].memory_mb).sum();
+            let memory: f64 = self.attempts.values().map(|a| self.classes[a.request.class.0].memory_mb).sum();
             p.memory_mb += NEWEST * (memory / out - p.memory_mb);
         }
-        self.prune();
         self.count_pool(now);
         // Silence: an attempt is out for long and its engine has answered nothing since it was sent.
         for ((id, number), a) in &mut self.attempts {
-            let (class, view, may) = (&self.s.classes[a.class.0], &self.classes[a.class.0], &self.s.allowed);
+            let (at, may) = (a.request.class.0, &self.s.allowed);
+            let (class, view) = (&self.s.classes[at], &self.classes[at]);
             let patience = if view.dashboard { SILENT * view.latency } else { 2.0 * class.aim };
             let patience = patience.clamp(0.5 * self.objective, (2.0 * class.aim).max(0.5 * self.objective));
             // Where news come, an attempt with none is over and its answer lost. Harmful where news get lost.
@@ -811,7 +818,7 @@
             let lost = may.note_period > 0.0 && silent;
             // Out for longer than it was charged for, it is charged as it goes.
             let over = now - a.sent - a.charged;
-            if !view.dashboard && !a.stuck && over > 0.0 {
+            if !a.dashboard && !a.stuck && over > 0.0 {
                 self.pooled.charge(f64::from(class.threads) * over);
                 a.charged += over;
             }
@@ -843,7 +850,7 @@
         let overdue: Vec<RequestId> = self.held.values().filter(overdue).copied().collect();
         for id in overdue {
             explain::held_in_vain(self, id, now);
-            self.give_up(id, Some(self.s.allowed.max_retry_after), actions);
+            self.give_up(id, true, actions);
         }
     }
 
@@ -942,10 +949,11 @@
         let (class, group) = (self.jobs[&id].request.class, self.jobs[&id].request.group);
         let (c, dashboard) = (&self.s.classes[class.0], self.classes[class.0].dashboard);
         let waits = (c.yields || c.load) && group.is_some();
-        let holds = |a: &&Attempt| waits && a.group == group && self.s.classes[a.class.0].load;
-        let held_on: Vec<EngineId> = self.attempts.values().filter(holds).map(|a| a.engine).collect();
+        let loads = |a: &&Attempt| a.request.group == group && self.s.classes[a.request.class.0].load;
+        let attempts = self.attempts.values().take(if waits { usize::MAX } else { 0 });
+        let held_on: Vec<EngineId> = attempts.filter(loads).map(|a| a.engine).collect();
         for engine in open {
-            let chance = BLUR * self.chance();
+            let chance = BLUR * fraction(self.rng.next_u32());
             let job = &self.jobs[&id];
             if !self.may_send(job, *engine, now) {
                 continue;
@@ -991,50 +999,40 @@
                 within(&self.extra, edge - self.s.resolution) + 1.0
                     <= b.floor + b.ratio * within(&self.taken, edge)
             });
-        let has_turn = self.key_of(&job.request).and_then(|k| self.keys.get(&k)).is_none_or(|line| {
+        let has_turn = job.request.key.and_then(|k| self.keys.get(&k)).is_none_or(|line| {
             line.order.front() == Some(&job.request.id)
                 && line.out == 0
                 && line.rest.is_none_or(|(until, id)| id == job.request.id || now >= until)
         });
-        e.state == EngineState::Ready
-            && !job.out
-            && self.another_may_follow(job, now)
-            && in_group
-            && in_budget
-            && has_turn
+        let may_follow = e.state == EngineState::Ready && self.another_may_follow(job, now);
+        may_follow && in_group && in_budget && has_turn
     }
 
     /// The one place where anything is sent.
     fn send(&mut self, now: f64, id: RequestId, engine: EngineId, actions: &mut Vec<Action>) {
-        let key = self.jobs.get(&id).and_then(|job| self.key_of(&job.request));
         let (Some(job), Some(e)) = (self.jobs.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         let class = &self.s.classes[job.request.class.0];
         let view = &self.classes[job.request.class.0];
         self.held.remove(&job.place);
+        let need_mb = job.request.need_mb.unwrap_or(0.0);
         let attempt = Attempt {
+            request: job.request.clone(),
+            dashboard: view.dashboard,
             engine,
-            class: job.request.class,
             sent: now,
             heard: now,
             noted: now,
             stuck: false,
-            key,
-            group: job.request.group,
             spell: e.health.spell,
-            need_mb: job.request.need_mb.unwrap_or(0.0),
             due: view.latency * job.size.max(0.5) / e.warmth(now, &self.s.rules),
             charged: view.latency * job.size,
-            work: job.request.estimate.unwrap_or(0.0),
         };
-        e.need_mb += attempt.need_mb;
-        self.pooled.need_mb += attempt.need_mb;
+        e.need_mb += need_mb;
+        self.pooled.need_mb += need_mb;
         self.attempts.insert((id, job.attempts), attempt);
-        job.out = true;
         job.attempts += 1;
-        if job.attempts > 1 {
-            self.extra.push_back(now);
-        }
-        if let Some(line) = key.and_then(|k| self.keys.get_mut(&k)) {
+        self.extra.extend((job.attempts > 1).then_some(now));
+        if let Some(line) = job.request.key.and_then(|k| self.keys.get_mut(&k)) {
             line.out += 1;
         }
         let threads = f64::from(class.threads);
