--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,12 +1,13 @@
 //! Configuration: `LB_*` and the JSON file they name, read once into typed settings.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use notchridge::interface::*;
 use tinyjson::JsonValue;
+use wrenhatch_configuration::Document;
 
 use crate::engine::mysql::Login;
 use crate::tenants::Directory;
@@ -140,9 +141,23 @@
     pub tenants: Vec<String>,
     /// What the report fields x0 and x1 stand for.
     pub report_extras: [String; 2],
+    /// Numbers of classes that no new request may have, since other settings came in service.
+    pub retired_classes: BTreeSet<usize>,
+    /// The same of tenants.
+    pub retired_tenants: BTreeSet<usize>,
 }
 
 impl Names {
+    /// The class that new requests have by this name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        find(&self.classes, &self.retired_classes, name).map(ClassId)
+    }
+
+    /// The tenant that new requests have by this name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        find(&self.tenants, &self.retired_tenants, name).map(TenantId)
+    }
+
     /// The number of a name in a list; unknown names are added, as kinds and zones may be.
     pub fn number(list: &mut Vec<String>, name: &str) -> usize {
         list.iter().position(|n| n == name).unwrap_or_else(|| {
@@ -152,6 +167,11 @@
     }
 }
 
+fn find(names: &[String], retired: &BTreeSet<usize>, name: &str) -> Option<usize> {
+    let found = names.iter().enumerate().filter(|(_, n)| *n == name).map(|(at, _)| at);
+    found.into_iter().find(|at| !retired.contains(at))
+}
+
 /// One engine of a list event.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
@@ -301,6 +321,15 @@
     }
 }
 
+/// Who is asked for settings in service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Control {
+    /// The control machines.
+    pub machines: Vec<SocketAddr>,
+    /// The settings of the start, before any version.
+    pub document: Document,
+}
+
 /// All that the gateway is told at its start.
 #[derive(Debug)]
 pub struct Config {
@@ -336,6 +365,8 @@
     pub clients: Clients,
     /// The MySQL front, where an operator wants it.
     pub mysql: Option<MySql>,
+    /// Who is asked for settings in service, where an operator wants it.
+    pub control: Option<Control>,
 }
 
 /// Reads a JSON file.
@@ -348,7 +379,8 @@
 /// Reads the configuration that the environment names, and the operator's file if one is given.
 pub fn from_environment(operator: Option<&str>) -> Result<Config, ConfigError> {
     let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset("LB_CONFIG"))?;
-    let mut config = from_file(&path)?;
+    let json = json_file(&path)?;
+    let mut config = Config { path: Some(path), ..read(&Node::root(&json, "config"))? };
     if let Ok(name) = std::env::var("LB_NAME") {
         config.name = name;
     }
@@ -365,21 +397,73 @@
     if let Some(path) = operator {
         crate::operator::apply(path, &mut config)?;
     }
+    if let Some(control) = &mut config.control {
+        control.document = settings_document(&json)?;
+    }
     Ok(config)
 }
 
+/// The settings of a configuration as a document, before any version.
+fn settings_document(config: &JsonValue) -> Result<Document, ConfigError> {
+    let wrong = || ConfigError::Value { path: "config.settings".to_owned(), wanted: "an object" };
+    let root = config.get::<HashMap<String, JsonValue>>();
+    let settings = root.and_then(|root| root.get("settings")).ok_or_else(wrong)?;
+    let text = settings.stringify().map_err(|_| wrong())?;
+    text.parse().map_err(|_| wrong())
+}
+
 /// Reads a configuration from its file.
 pub fn from_file(path: &str) -> Result<Config, ConfigError> {
     Ok(Config { path: Some(path.to_owned()), ..read(&Node::root(&json_file(path)?, "config"))? })
 }
 
+/// What the settings of a configuration say, which may change in service.
+#[derive(Clone, Debug)]
+pub struct SiteSettings {
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names in the settings.
+    pub names: Names,
+    /// Idle time after which an engine closes a connection, in microseconds.
+    pub keepalive_us: u64,
+    /// Time within which a connection must come up, in microseconds.
+    pub connect_us: u64,
+    /// Open requests permitted.
+    pub max_open: usize,
+}
+
+/// Reads the settings of a configuration.
+///
+/// # Errors
+/// What is missing or makes no sense.
+pub fn site_settings(env: &Node<'_>) -> Result<SiteSettings, ConfigError> {
+    let (settings, names) = settings(env)?;
+    settings.check()?;
+    let allowed = env.get("allowed");
+    Ok(SiteSettings {
+        settings,
+        names,
+        keepalive_us: (allowed.get("keepalive-s").number_or(15.0)? * 1e6) as u64,
+        connect_us: (allowed.get("connect-timeout-s").number_or(0.25)? * 1e6) as u64,
+        max_open: allowed.get("max-open").number_or(20_000.0)? as usize,
+    })
+}
+
+/// Reads the settings of a configuration from their text.
+///
+/// # Errors
+/// The text is not JSON, or something in it is missing or makes no sense.
+pub fn site_settings_text(text: &str) -> Result<SiteSettings, ConfigError> {
+    let json: JsonValue =
+        text.parse().map_err(|source| ConfigError::Json { path: "settings".to_owned(), source })?;
+    site_settings(&Node::root(&json, "settings"))
+}
+
 /// Reads a configuration.
 pub fn read(root: &Node<'_>) -> Result<Config, ConfigError> {
     let env = root.get("settings");
-    let (settings, names) = settings(&env)?;
-    settings.check()?;
+    let site = site_settings(&env)?;
     let seed = root.get("seed").text()?;
-    let allowed = env.get("allowed");
     let (coordinator, ops) = (root.get("coordinator"), root.get("ops"));
     Ok(Config {
         path: None,
@@ -391,13 +475,14 @@
         memory: (root.get("limits").get("memory_mb").number_or(192.0)? * f64::from(1 << 20)) as usize,
         coordinator: if coordinator.is_there() { Some(coordinator.address()?) } else { None },
         known: known_events(&root.get("known"))?,
-        settings,
-        names,
-        keepalive_us: (allowed.get("keepalive-s").number_or(15.0)? * 1e6) as u64,
-        connect_us: (allowed.get("connect-timeout-s").number_or(0.25)? * 1e6) as u64,
-        max_open: allowed.get("max-open").number_or(20_000.0)? as usize,
+        settings: site.settings,
+        names: site.names,
+        keepalive_us: site.keepalive_us,
+        connect_us: site.connect_us,
+        max_open: site.max_open,
         clients: Clients::default(),
         mysql: None,
+        control: None,
     })
 }
 
--- a/gateway/src/coordinator.rs
+++ b/gateway/src/coordinator.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 
 use crate::config::{ListEvent, list_event_text};
+use crate::event_stream::EventStream;
 
 /// Bytes in which an engine is told of, at most; read, it takes some times as much.
 const ENGINE_BYTES: usize = 512;
@@ -90,123 +91,31 @@
 }
 
 /// What has been read of one stream.
-pub struct Stream {
-    /// Bytes of an event at most.
-    most: usize,
-    started: bool,
-    chunked: bool,
-    /// Bytes of the chunk that is being read.
-    chunk: usize,
-    body: Vec<u8>,
-    /// Lines that were read to their end.
-    lines: u64,
-}
+pub struct Stream(EventStream);
 
 impl Stream {
     /// A stream to a gateway that may use so many bytes of memory.
     pub fn new(memory: usize) -> Self {
-        let most = (memory / SHARE).max(LEAST_ENGINES * ENGINE_BYTES);
-        Self { most, started: false, chunked: false, chunk: 0, body: Vec::new(), lines: 0 }
+        Self(EventStream::new((memory / SHARE).max(LEAST_ENGINES * ENGINE_BYTES)))
     }
 
     /// Lines read to their end so far, the head being one: bytes that never end a line are no sign of life.
     pub fn lines(&self) -> u64 {
-        self.lines
+        self.0.lines()
     }
 
     /// Takes what has come and adds the events that are whole to `events`, also those before an error.
     pub fn read(&mut self, input: &mut Vec<u8>, events: &mut Vec<ListEvent>) -> Result<(), StreamError> {
-        if !self.started && !self.head(input)? {
-            return Ok(());
-        }
-        if self.body.len() + input.len() > self.most {
-            return Err(StreamError::NoStream);
-        }
-        let before = self.body.len();
-        if self.chunked {
-            self.chunks(input)?
-        } else {
-            self.body.append(input)
-        }
-        self.lines += self.body[before..].iter().filter(|b| **b == b'\n').count() as u64;
-        while let Some((end, width)) = blank_line(&self.body) {
-            let block: Vec<u8> = self.body.drain(..end + width).take(end).collect();
-            events.extend(event(&block)?);
-        }
-        Ok(())
-    }
-
-    fn head(&mut self, input: &mut Vec<u8>) -> Result<bool, StreamError> {
-        let mut headers = [httparse::EMPTY_HEADER; 32];
-        let mut head = httparse::Response::new(&mut headers);
-        match head.parse(input).map_err(|_| StreamError::NoStream)? {
-            httparse::Status::Partial => Ok(false),
-            httparse::Status::Complete(_) if head.code != Some(200) => Err(StreamError::NoStream),
-            httparse::Status::Complete(at) => {
-                self.chunked = head.headers.iter().any(|h| {
-                    h.name.eq_ignore_ascii_case("transfer-encoding")
-                        && h.value.eq_ignore_ascii_case(b"chunked")
-                });
-                self.started = true;
-                self.lines += 1;
-                input.drain(..at);
-                Ok(true)
+        self.0.take(input).map_err(|_| StreamError::NoStream)?;
+        while let Some(sent) = self.0.next_event() {
+            let mut event = list_event_text(&sent.data).map_err(|e| StreamError::BadEvent(sent.id, e))?;
+            if sent.id > 0 {
+                event.index = sent.id;
             }
+            events.push(event);
         }
+        Ok(())
     }
-
-    fn chunks(&mut self, input: &mut Vec<u8>) -> Result<(), StreamError> {
-        loop {
-            let n = self.chunk.min(input.len());
-            self.body.extend(input.drain(..n));
-            self.chunk -= n;
-            if self.chunk > 0 || input.is_empty() {
-                return Ok(());
-            }
-            // The line end behind a chunk is read with the next chunk's size.
-            let skip = if input.starts_with(b"\r\n") { 2 } else { 0 };
-            match httparse::parse_chunk_size(&input[skip..]).map_err(|_| StreamError::NoStream)? {
-                httparse::Status::Complete((start, length)) => {
-                    input.drain(..skip + start);
-                    self.chunk = length as usize;
-                }
-                httparse::Status::Partial => return Ok(()),
-            }
-        }
-    }
-}
-
-fn blank_line(body: &[u8]) -> Option<(usize, usize)> {
-    let find = |what: &[u8]| body.windows(what.len()).position(|w| w == what).map(|at| (at, what.len()));
-    [find(b"\n\n"), find(b"\r\n\r\n")].into_iter().flatten().min()
-}
-
-/// Reads one block of lines; comments hold no event.
-fn event(block: &[u8]) -> Result<Option<ListEvent>, StreamError> {
-    let text = String::from_utf8_lossy(block);
-    let (mut id, mut data) = (0, String::new());
-    for line in text.lines() {
-        let (name, value) = line.split_once(':').unwrap_or((line, ""));
-        let value = value.strip_prefix(' ').unwrap_or(value);
-        match name {
-            "id" => id = value.trim().parse().unwrap_or(0),
-            "data" => {
-                if !data.is_empty() {
-                    data.push('\n');
-                }
-                data.push_str(value);
-            }
-            _ => {}
-        }
-    }
-    if data.is_empty() {
-        return Ok(None);
-    }
-    let mut event = list_event_text(&data).map_err(|e| StreamError::BadEvent(id, e))?;
-    if id > 0 {
-        event.index = id;
-    }
-    Ok(Some(event))
 }
 
 #[cfg(test)]
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -3,7 +3,7 @@
 //! It drives the decision module and turns the module's actions into [`Command`]s. It knows no wire: no
 //! bytes, no sockets, no protocol. Time is whole microseconds, handed in once a turn.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use notchridge::Gateway;
 use notchridge::interface::*;
@@ -143,6 +143,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Out {
+    class: ClassId,
     engine: EngineId,
     key: Option<KeyId>,
     sent_us: u64,
@@ -168,19 +169,40 @@
     Lease(KeyId),
 }
 
-/// The core of one gateway.
-pub struct Core {
-    module: Gateway,
+/// What the core itself keeps to of the settings.
+struct Terms {
+    /// By class.
     effects: Vec<Effect>,
+    /// By class.
     keeps_order: Vec<bool>,
     /// How long a key rests behind an attempt that might still run.
     order_pause_us: u64,
-    leases: KeyLeases,
-    lease_effects: Vec<LeaseEffect>,
     max_attempts: u32,
     resolution_us: u64,
     /// What a client hears whose engine fell silent, in seconds, where clients hear such things.
     come_back: Option<f64>,
+}
+
+impl Terms {
+    fn of(settings: &Settings) -> Self {
+        let allowed = &settings.allowed;
+        Self {
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
+            keeps_order: settings.classes.iter().map(|c| c.keep_order).collect(),
+            order_pause_us: micros(settings.rules.order_pause),
+            max_attempts: allowed.max_attempts,
+            resolution_us: micros(settings.resolution),
+            come_back: allowed.retry_after.then_some(COME_BACK.min(allowed.max_retry_after)),
+        }
+    }
+}
+
+/// The core of one gateway.
+pub struct Core {
+    module: Gateway,
+    terms: Terms,
+    leases: KeyLeases,
+    lease_effects: Vec<LeaseEffect>,
     open: BTreeMap<RequestId, Open>,
     out: BTreeMap<(RequestId, u32), Out>,
     states: BTreeMap<EngineId, EngineState>,
@@ -205,17 +227,9 @@
     /// Settings that no gateway could act on.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         Ok(Self {
-            effects: settings.classes.iter().map(|c| c.effect).collect(),
-            keeps_order: settings.classes.iter().map(|c| c.keep_order).collect(),
-            order_pause_us: micros(settings.rules.order_pause),
+            terms: Terms::of(&settings),
             leases: KeyLeases::default(),
             lease_effects: Vec::new(),
-            max_attempts: settings.allowed.max_attempts,
-            resolution_us: micros(settings.resolution),
-            come_back: settings
-                .allowed
-                .retry_after
-                .then_some(COME_BACK.min(settings.allowed.max_retry_after)),
             module: Gateway::new(settings, seed)?,
             open: BTreeMap::new(),
             out: BTreeMap::new(),
@@ -227,6 +241,24 @@
         })
     }
 
+    /// Takes over other settings between two turns. Requests and attempts keep the class that they came with, and
+    /// keys their leases; what is no class's holds for all from here on.
+    ///
+    /// # Errors
+    /// Settings that no gateway could act on: the old ones stay.
+    pub fn reconfigure(&mut self, change: Change) -> Result<(), SettingsError> {
+        let terms = Terms::of(&change.settings);
+        self.module.reconfigure(change)?;
+        self.terms = terms;
+        Ok(())
+    }
+
+    /// The classes of requests that are owed an answer and of attempts that are out.
+    pub fn classes_in_use(&self) -> BTreeSet<ClassId> {
+        let open = self.open.values().map(|open| open.class);
+        open.chain(self.out.values().map(|out| out.class)).collect()
+    }
+
     /// Requests that are still owed an answer.
     pub fn open_requests(&self) -> usize {
         self.open.len()
@@ -280,7 +312,7 @@
                 let deadline_us = ask.deadline_us.saturating_sub(MARGIN_US);
                 // The module plans the end itself; this guards against one that does not.
                 let deadline = self.timers.arm(deadline_us, Timer::Deadline(id));
-                let key = ask.key.filter(|_| self.keeps_order[ask.class.0]);
+                let key = ask.key.filter(|_| self.terms.keeps_order[ask.class.0]);
                 let request = Request {
                     id,
                     class: ask.class,
@@ -332,7 +364,7 @@
                 let open: Vec<RequestId> = self.open.keys().copied().collect();
                 for id in open {
                     self.events.push_back(Event::Aborted(id));
-                    self.answer_unserved(now_us, id, self.come_back, true, commands);
+                    self.answer_unserved(now_us, id, self.terms.come_back, true, commands);
                 }
             }
             Input::Neighbour(neighbour, news) => self.neighbour(now_us, neighbour, news),
@@ -373,7 +405,7 @@
 
     /// Until when a key rests behind an attempt that might run until then.
     pub fn rests_after(&self, runs_until_us: u64) -> u64 {
-        runs_until_us + self.order_pause_us
+        runs_until_us + self.terms.order_pause_us
     }
 
     fn ended(
@@ -460,7 +492,7 @@
         if let Some(open) = self.open.get_mut(&id) {
             open.may_have_run(out.sent_us);
         }
-        self.answer_unserved(now_us, id, self.come_back, true, commands);
+        self.answer_unserved(now_us, id, self.terms.come_back, true, commands);
         let end = End { outcome: Outcome::TimedOut, settled: true, runs_until_us, report: None };
         self.tell_end(now_us, (id, attempt), out, end);
     }
@@ -474,7 +506,7 @@
                     debug_assert!(now_us >= open.deadline_us);
                     // One that the module never heard of was never sent.
                     let unadmitted = open.unadmitted.is_some();
-                    let retry_after = self.come_back.filter(|_| unadmitted);
+                    let retry_after = self.terms.come_back.filter(|_| unadmitted);
                     self.events.push_back(Event::Aborted(id));
                     self.answer_unserved(now_us, id, retry_after, unadmitted, commands);
                 }
@@ -503,7 +535,7 @@
     ) {
         let Some(open) = self.close(now_us, id) else { return };
         let running = self.out.range((id, 0)..=(id, u32::MAX)).next().is_some();
-        let harmless = match self.effects[open.class.0] {
+        let harmless = match self.terms.effects[open.class.0] {
             Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => !(running || open.may_have_run_us.is_some()),
         };
@@ -576,13 +608,13 @@
         open.attempts += 1;
         let until_us = timeout.map_or(open.deadline_us, |t| open.deadline_us.min(now_us + micros(t)));
         let key = open.key;
-        let out = Out { engine, key, sent_us: now_us, stopped: false, timer: None };
+        let out = Out { class: open.class, engine, key, sent_us: now_us, stopped: false, timer: None };
         self.out.insert((id, attempt), out);
         if let Some(key) = key {
             self.leases.attempt_began(key);
         }
         // A module that asked for one of these would break a rule on the wire; here it only loses a try.
-        let spent = self.max_attempts > 0 && attempt >= self.max_attempts;
+        let spent = self.terms.max_attempts > 0 && attempt >= self.terms.max_attempts;
         if busy || !ready || spent || until_us <= now_us {
             self.ended(now_us, id, attempt, Outcome::Void, None, commands);
             return;
@@ -594,9 +626,9 @@
             }
         }
         // A repeat is known as one for a while only, from when the first was sent that may have run.
-        let window_us = match (self.effects[open.class.0], open.may_have_run_us) {
+        let window_us = match (self.terms.effects[open.class.0], open.may_have_run_us) {
             (Effect::Keyed { window, .. }, Some(sent_us)) => {
-                (sent_us + micros(window)).saturating_sub(self.resolution_us)
+                (sent_us + micros(window)).saturating_sub(self.terms.resolution_us)
             }
             _ => u64::MAX,
         };
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -357,3 +357,85 @@
     assert!(started(&bench.ask(2, LOOKUP, 3 * SECOND)).is_some());
     assert!(bench.core.next_timer_us().is_some_and(|at| at <= bench.now_us + 50_000), "it looks again");
 }
+
+/// Settings of the bench, ordered, with the class of loads followed by a changed one with the next number.
+fn with_changed_loads(to: impl Fn(&mut Class)) -> Change {
+    let mut settings = ordered_settings();
+    let mut origins = vec![ClassOrigin::Kept; settings.classes.len()];
+    let mut class = settings.classes[LOAD.0].clone();
+    to(&mut class);
+    settings.classes.push(class);
+    origins[LOAD.0] = ClassOrigin::Retired;
+    origins.push(ClassOrigin::Follows(LOAD));
+    Change { settings, origins }
+}
+
+fn ordered_settings() -> Settings {
+    let text = include_str!("../../tests/common/config.json").replace("LIST", "");
+    let text = text.replace("\"name\":\"load\",", "\"name\":\"load\",\"keep-order\":true,");
+    let text = text.replace("\"warm-up-s\"", "\"order-pause-s\":0.3,\"warm-up-s\"");
+    config::read(&Node::root(&text.parse().unwrap(), "config")).unwrap().settings
+}
+
+const CHANGED_LOAD: ClassId = ClassId(3);
+
+#[test]
+fn keys_keep_their_leases_and_their_order_when_the_class_orders_no_longer() {
+    let mut b = Bench::ordered();
+    let (first, attempt, _) = started(&b.ask_in_order(1, LOAD, 20 * SECOND, Some(KeyId(9)))).unwrap();
+    assert_eq!(started(&b.ask_in_order(2, LOAD, 20 * SECOND, Some(KeyId(9)))), None);
+    b.core.reconfigure(with_changed_loads(|class| class.keep_order = false)).unwrap();
+    assert_eq!(started(&b.pass(SECOND)), None, "the second waits for the first");
+    let third = b.ask_in_order(3, CHANGED_LOAD, 20 * SECOND, Some(KeyId(9)));
+    assert_eq!(started(&third).unwrap().0, RequestId(3), "a new one takes no turn");
+    let commands = b.turn(vec![Input::Ended(first, attempt, Outcome::Success, None)]);
+    assert_eq!(started(&commands).unwrap().0, RequestId(2));
+}
+
+#[test]
+fn a_request_that_is_out_keeps_its_effect_when_its_class_gets_another() {
+    let mut b = Bench::ordered();
+    let (id, attempt, _) = started(&b.ask(1, LOAD, 20 * SECOND)).unwrap();
+    b.core.reconfigure(with_changed_loads(|class| class.effect = Effect::Safe)).unwrap();
+    let commands = b.turn(vec![Input::Ended(id, attempt, Outcome::Broken, None)]);
+    assert_eq!(commands, [Command::Fail(id)], "no second attempt, and no promise");
+    let (id, attempt, _) = started(&b.ask(2, CHANGED_LOAD, 20 * SECOND)).unwrap();
+    let commands = b.turn(vec![Input::Ended(id, attempt, Outcome::Broken, None)]);
+    assert!(started(&commands).is_some(), "a new one may be repeated");
+}
+
+#[test]
+fn limits_of_the_site_hold_for_all_at_once() {
+    let mut b = Bench::new();
+    let mut settings = ordered_settings();
+    settings.allowed.max_attempts = 1;
+    settings.allowed.retry_after = false;
+    settings.rules.order_pause = 7.0;
+    let origins = vec![ClassOrigin::Kept; settings.classes.len()];
+    let (id, attempt, _) = started(&b.ask(1, LOOKUP, 3 * SECOND)).unwrap();
+    b.core.reconfigure(Change { settings, origins }).unwrap();
+    assert_eq!(b.core.rests_after(SECOND), 8 * SECOND);
+    let commands = b.turn(vec![Input::Ended(id, attempt, Outcome::Broken, None)]);
+    assert_eq!(commands, [Command::Refuse(id, None)], "one attempt, and no advice");
+}
+
+#[test]
+fn a_class_is_in_use_until_its_last_attempt_has_ended() {
+    let mut b = Bench::new();
+    assert!(b.core.classes_in_use().is_empty());
+    let (id, attempt, _) = started(&b.ask(1, LOAD, 20 * SECOND)).unwrap();
+    b.turn(vec![Input::Left(id)]);
+    assert_eq!(b.core.open_requests(), 0);
+    assert!(b.core.classes_in_use().contains(&LOAD), "its engine runs it on");
+    b.turn(vec![Input::Ended(id, attempt, Outcome::Withdrawn, None)]);
+    assert!(b.core.classes_in_use().is_empty());
+}
+
+#[test]
+fn settings_that_are_refused_change_nothing_in_the_core() {
+    let mut b = Bench::ordered();
+    let mut bad = with_changed_loads(|class| class.deadline = -1.0);
+    bad.settings.rules.order_pause = 7.0;
+    assert!(b.core.reconfigure(bad).is_err());
+    assert_eq!(b.core.rests_after(0), 300_000);
+}
--- a/gateway/src/engine/http/tests.rs
+++ b/gateway/src/engine/http/tests.rs
@@ -117,7 +117,7 @@
     let mut out = Vec::new();
     let empty = "Content-Length: 0\r\n\r\n";
     assert_eq!(e.on_response(&mut answer(&format!("HTTP/1.1 202 x\r\n{empty}")), &mut out), Step::Quiet);
-    assert_eq!(out, [], "it is asked for no more");
+    assert_eq!(out, b"", "it is asked for no more");
     let gone = answer(&format!("HTTP/1.1 500 x\r\n{empty}"));
     assert_eq!(e.on_response(&mut gone.clone(), &mut out), Step::Ended(Outcome::Withdrawn));
 }
--- a/gateway/src/front/mysql.rs
+++ b/gateway/src/front/mysql.rs
@@ -647,7 +647,7 @@
         out.clear();
         let long = packet(&[0x18, 10, 0, 0, 0, 0, 0, b'x'], 0);
         assert_eq!(session.read(&mut long.clone(), &mut out), Some(Want::Done));
-        assert_eq!(out, [], "long data is never answered");
+        assert_eq!(out, b"", "long data is never answered");
         let execute = packet(&[0x17, 10, 0, 0, 0, 8, 1, 0, 0, 0, 1, 1, 1, 6, 0, 0], 0);
         assert_eq!(session.read(&mut execute.clone(), &mut out), Some(Want::Invalid));
         session.read(&mut packet(&[0x1a, 10, 0, 0, 0], 0), &mut out);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,10 +2,12 @@
 //! same code as the program.
 
 pub mod config;
+pub mod control;
 pub mod coordinator;
 pub mod core;
 pub mod counters;
 pub mod engine;
+pub mod event_stream;
 pub mod front;
 pub mod handover;
 pub mod key_leases;
@@ -16,4 +18,5 @@
 pub mod operator;
 pub mod ops;
 pub mod roster;
+pub mod settings_change;
 pub mod tenants;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -15,7 +15,8 @@
     wrenhatch help       print this
 
     --config FILE        with serve or check: the operator's file in TOML, as deploy/wrenhatch.example.toml;
-                         limits for clients' connections, and the MySQL front, which is off without it
+                         limits for clients' connections; the MySQL front and control machines, which are off
+                         without it
     --log LEVEL          error, warn, info (the default), debug or trace
 ";
 
@@ -68,6 +69,9 @@
             if let Some(m) = &c.mysql {
                 println!("MySQL on {}: {} engines", m.listen, m.engines.len());
             }
+            if let Some(control) = &c.control {
+                println!("settings in service from {} control machines", control.machines.len());
+            }
             Ok(())
         }
         Some("version") => {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -39,21 +39,40 @@
     pub engines_excluded: usize,
 }
 
-/// The figures of all classes.
+/// The figures of all classes, by name: a class that other settings change counts on.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     classes: Vec<(String, ClassMetrics)>,
+    /// By number of a class, where its figures are.
+    places: Vec<usize>,
 }
 
 impl Metrics {
     /// Nothing counted yet, for classes of these names.
     pub fn new<'a>(names: impl IntoIterator<Item = &'a str>) -> Self {
-        Self { classes: names.into_iter().map(|n| (n.to_owned(), ClassMetrics::default())).collect() }
+        let mut metrics = Self { classes: Vec::new(), places: Vec::new() };
+        metrics.rename(names);
+        metrics
+    }
+
+    /// Other settings: classes have these names by number, some of them the same one. What was counted of a name
+    /// stays while a number has it.
+    pub fn rename<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
+        let old = std::mem::take(&mut self.classes);
+        self.places.clear();
+        for name in names {
+            let known = self.classes.iter().position(|(n, _)| n == name);
+            self.places.push(known.unwrap_or(self.classes.len()));
+            if known.is_none() {
+                let counted = old.iter().find(|(n, _)| n == name).map(|(_, counted)| *counted);
+                self.classes.push((name.to_owned(), counted.unwrap_or_default()));
+            }
+        }
     }
 
     /// The figures of a class. Classes come from the settings, so that it is always there.
     pub fn class(&mut self, class: ClassId) -> &mut ClassMetrics {
-        &mut self.classes[class.0].1
+        &mut self.classes[self.places[class.0]].1
     }
 
     /// Counts the end of a request.
--- a/gateway/src/metrics/tests.rs
+++ b/gateway/src/metrics/tests.rs
@@ -14,3 +14,18 @@
                   edge_lb.engines_known=8\nedge_lb.engines_excluded=1\n";
     assert_eq!(text, wanted);
 }
+
+#[test]
+fn a_name_counts_on_whatever_numbers_it_has() {
+    let mut m = Metrics::new(["lookup", "load"]);
+    m.ended(ClassId(1), Ending::Served);
+    m.rename(["lookup", "load", "load"]);
+    m.ended(ClassId(1), Ending::Served);
+    m.ended(ClassId(2), Ending::Served);
+    let text = m.text(Now::default());
+    assert_eq!(text.matches("served.load=").count(), 1);
+    assert!(text.contains("served.load=3\n"), "{text}");
+    m.rename(["other", "other", "load"]);
+    let text = m.text(Now::default());
+    assert!(text.contains("served.load=3\n") && !text.contains("lookup"), "{text}");
+}
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -27,9 +27,9 @@
 
 /// What the settings call these fields.
 fn judge(names: &Names, fields: &fields::Fields) -> Result<(ClassId, Option<TenantId>), &'static str> {
-    let class = names.classes.iter().position(|c| *c == fields.class).ok_or("unknown class")?;
-    let tenant = |t: &String| names.tenants.iter().position(|n| n == t).ok_or("unknown tenant");
-    Ok((ClassId(class), fields.tenant.as_ref().map(tenant).transpose()?.map(TenantId)))
+    let class = names.class(&fields.class).ok_or("unknown class")?;
+    let tenant = |t: &String| names.tenant(t).ok_or("unknown tenant");
+    Ok((class, fields.tenant.as_ref().map(tenant).transpose()?))
 }
 
 impl Server {
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -8,11 +8,13 @@
 pub mod poll;
 
 mod clients;
+mod configuration;
 mod engines;
 mod handover;
 mod listeners;
 mod ops;
 mod pools;
+mod reconfigure;
 mod reload;
 mod requests;
 mod sessions;
@@ -55,6 +57,8 @@
 const OPS: u64 = 1 << 61;
 const HANDOVER_LISTENER: u64 = 6;
 const HANDOVER: u64 = 1 << 60;
+const CONTROL: u64 = 1 << 59;
+const REPORT: u64 = 1 << 58;
 const SESSION: u64 = 1 << 62;
 const LINK: u64 = 2 << 62;
 const WATCH: u64 = 3 << 62;
@@ -62,9 +66,12 @@
 /// Descriptors beside connections: listeners, poller, signals, standard streams, one being accepted, the spare.
 pub const OWN_DESCRIPTORS: usize = 32;
 
-/// Those, and where operators call, their door and who stands in it.
+/// Those, and where operators call, their door and who stands in it; where control machines are asked, the stream and
+/// a report.
 fn own_descriptors(config: &Config) -> usize {
-    OWN_DESCRIPTORS + config.ops.map_or(0, |_| 1 + ops::MOST_CALLERS)
+    let ops = config.ops.map_or(0, |_| 1 + ops::MOST_CALLERS);
+    let control = config.control.as_ref().map_or(0, |_| 2);
+    OWN_DESCRIPTORS + ops + control
 }
 
 /// Why the gateway can't serve.
@@ -93,6 +100,8 @@
     IdleLimit,
     /// The coordinator's stream is looked at.
     Watch,
+    /// The control machines' stream is looked at, and the report that is due.
+    Control,
     /// The configuration's file is read again; how often that has failed.
     Reload(u32),
     /// Descriptors may be there again for new connections.
@@ -125,6 +134,7 @@
     requests: Requests,
     pools: pools::Pools,
     watch: watch::Watch,
+    control: Option<configuration::Follower>,
     ops: ops::Ops,
     family: handover::Family,
     roster: Roster,
@@ -165,6 +175,7 @@
             requests: Requests::default(),
             pools: pools::Pools::default(),
             watch: watch::Watch::new(last, config.seed as u32 as f64 / f64::from(u32::MAX)),
+            control: config.control.clone().map(|control| configuration::Follower::new(control, &config)),
             ops,
             family: handover::Family::default(),
             roster: Roster::new(config.memory),
@@ -175,6 +186,7 @@
             config,
         };
         server.timers.arm(0, Timer::Watch);
+        server.check_control();
         known.iter().for_each(|event| server.listed(event));
         let older = inheritance.map(|i| {
             server.take_over(i.messages);
@@ -239,6 +251,8 @@
                     (_, SESSION) => self.session_ready(key, interest),
                     (key, _) if key & OPS != 0 => self.caller_ready(key),
                     (key, _) if key & HANDOVER != 0 => self.peer_ready(key),
+                    (key, _) if key & CONTROL != 0 => self.control_ready(key, interest),
+                    (key, _) if key & REPORT != 0 => self.report_ready(key, interest),
                     _ => {}
                 }
             }
@@ -324,6 +338,7 @@
                 Timer::Client(who) => self.client_late(who),
                 Timer::IdleLimit => self.close_long_idle(),
                 Timer::Watch => self.check_watch(),
+                Timer::Control => self.check_control(),
                 Timer::Reload(failures) => self.reload(failures),
                 Timer::Listeners => self.listeners.resume(&self.poll),
                 Timer::Callers => self.callers_late(),
--- a/gateway/src/net/ops.rs
+++ b/gateway/src/net/ops.rs
@@ -133,7 +133,10 @@
     fn called(&mut self, call: Call) -> Result<String, No> {
         match call {
             Call::Status if self.shutdown.has_begun() => Err(No::Leaving),
-            Call::Status => Ok("ready\n".to_owned()),
+            Call::Status => {
+                let configuration = self.control.as_ref().map(ToString::to_string).unwrap_or_default();
+                Ok(format!("ready\n{configuration}"))
+            }
             Call::Metrics => {
                 let now = Now {
                     in_flight: self.requests.open.len(),
--- a/gateway/src/net/reload.rs
+++ b/gateway/src/net/reload.rs
@@ -1,5 +1,7 @@
 //! SIGHUP: the configuration's file is read again while the gateway serves.
 
+use wrenhatch_configuration::Version;
+
 use super::{Server, Timer};
 use crate::config;
 
@@ -38,6 +40,10 @@
         let gone = |old: &[String], new: &[String]| -> Vec<String> {
             old.iter().filter(|name| !new.contains(name)).cloned().collect()
         };
+        if self.control.as_ref().is_some_and(|control| control.in_force() > Version::NONE) {
+            // What is in force came from a control machine and is not the file's.
+            return;
+        }
         let (old, new) = (&self.names, &fresh.names);
         let moved = old.classes != new.classes || old.tenants != new.tenants;
         if moved || self.config.settings != fresh.settings {
--- a/gateway/src/net/sessions.rs
+++ b/gateway/src/net/sessions.rs
@@ -278,6 +278,20 @@
     bits & !TENANT
 }
 
+/// The governor's limits. `deadlines` are those of the classes that new requests may have, in seconds.
+pub fn governor_limits(config: &Config, deadlines: impl Iterator<Item = f64>) -> Limits {
+    let most_wait_ms = (config.settings.allowed.max_retry_after * 1e3) as u64;
+    let patience = deadlines.fold(f64::INFINITY, f64::min);
+    Limits {
+        turn_us: config.clients.turn_us,
+        messages: config.clients.messages,
+        bytes: config.clients.bytes,
+        least_wait_ms: Limits::default().least_wait_ms.min(most_wait_ms),
+        most_wait_ms,
+        patience_us: (patience.min(1e6) * 1e6) as u64,
+    }
+}
+
 impl Sessions {
     /// `salt` is this process's own: another one of the same gateway may have the same seed, and a CancelRequest must
     /// not name a session of each.
@@ -285,20 +299,10 @@
         let most = most_clients(config);
         let share = config.memory / MESSAGES / most.max(1);
         let longest_message = share.clamp(*LONGEST_MESSAGE.start(), *LONGEST_MESSAGE.end());
-        let allowed = &config.settings.allowed;
-        let patience = config.settings.classes.iter().map(|c| c.deadline).fold(f64::INFINITY, f64::min);
-        let most_wait_ms = (allowed.max_retry_after * 1e3) as u64;
-        let limits = Limits {
-            turn_us: config.clients.turn_us,
-            messages: config.clients.messages,
-            bytes: config.clients.bytes,
-            least_wait_ms: Limits::default().least_wait_ms.min(most_wait_ms),
-            most_wait_ms,
-            patience_us: (patience.min(1e6) * 1e6) as u64,
-        };
+        let deadlines = config.settings.classes.iter().map(|c| c.deadline);
         Self {
             table: Table::new(),
-            governor: Governor::new(limits),
+            governor: Governor::new(governor_limits(config, deadlines)),
             ledger: Ledger::new(config.memory),
             dirty: Vec::new(),
             most,
--- a/gateway/src/net/shutdown.rs
+++ b/gateway/src/net/shutdown.rs
@@ -30,12 +30,15 @@
     parting_since_us: Option<u64>,
 }
 
+fn longest_deadline_us(deadlines: impl Iterator<Item = f64>) -> u64 {
+    (deadlines.fold(0.0, f64::max) * 1e6) as u64
+}
+
 impl Shutdown {
     pub(super) fn new(settings: &Settings) -> Self {
-        let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         Self {
             since_us: None,
-            longest_deadline_us: (longest * 1e6) as u64,
+            longest_deadline_us: longest_deadline_us(settings.classes.iter().map(|c| c.deadline)),
             answered_us: TAKING_US,
             listeners_closed: false,
             given_up: false,
@@ -43,6 +46,12 @@
         }
     }
 
+    /// The classes that new requests may have got other deadlines, in seconds. An end that has begun goes on as it
+    /// was planned.
+    pub(super) fn set_deadlines(&mut self, deadlines: impl Iterator<Item = f64>) {
+        self.longest_deadline_us = longest_deadline_us(deadlines);
+    }
+
     /// Whether SIGTERM has come.
     pub(super) fn has_begun(&self) -> bool {
         self.since_us.is_some()
--- a/gateway/src/operator.rs
+++ b/gateway/src/operator.rs
@@ -9,8 +9,9 @@
 
 use serde::{Deserialize, Deserializer, de::Error};
 use toml::Spanned;
+use wrenhatch_configuration::Document;
 
-use crate::config::{Clients, Config, Keepalive, MySql};
+use crate::config::{Clients, Config, Control, Keepalive, MySql};
 use crate::engine::mysql::Login;
 use crate::tenants::{Account, Directory};
 
@@ -44,6 +45,7 @@
 struct File {
     clients: ClientsTable,
     mysql: Option<MySqlTable>,
+    control: Option<ControlTable>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -116,6 +118,24 @@
     password: String,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ControlTable {
+    machines: Spanned<Vec<SocketAddr>>,
+}
+
+/// Control machines that may be named.
+const MOST_MACHINES: usize = 64;
+
+/// What is wrong with a list of control machines.
+fn wrong_machines(machines: &[SocketAddr]) -> Option<String> {
+    let twice = machines.iter().enumerate().find(|(at, machine)| machines[..*at].contains(machine));
+    if !(1..=MOST_MACHINES).contains(&machines.len()) {
+        return Some(format!("{} machines are not within 1 and {MOST_MACHINES}", machines.len()));
+    }
+    twice.map(|(_, machine)| format!("{machine} is named twice"))
+}
+
 fn within<'de, D: Deserializer<'de>>(d: D, range: RangeInclusive<u64>) -> Result<u64, D::Error> {
     let n = i64::deserialize(d)?;
     let wrong = || D::Error::custom(format!("{n} is not within {} and {}", range.start(), range.end()));
@@ -199,6 +219,13 @@
         messages: table.messages_per_turn as usize,
         bytes: table.bytes_per_turn as usize,
     };
+    if let Some(table) = file.control {
+        if let Some(wrong) = wrong_machines(table.machines.get_ref()) {
+            return Err(mistake(table.machines.span().start, wrong));
+        }
+        config.control =
+            Some(Control { machines: table.machines.into_inner(), document: Document::default() });
+    }
     let Some(table) = file.mysql else { return Ok(()) };
     let mut accounts = Vec::new();
     for (user, entry) in table.users {
--- a/gateway/src/operator/tests.rs
+++ b/gateway/src/operator/tests.rs
@@ -12,7 +12,7 @@
 fn the_example_shows_every_key_with_its_default() {
     let mut config = config();
     apply_text("f", EXAMPLE, &mut config).unwrap();
-    assert_eq!((config.clients, config.mysql), (Clients::default(), None));
+    assert_eq!((config.clients, config.mysql, config.control), (Clients::default(), None, None));
     // What is off stands there as a comment; taken in, it must be understood, and nothing may be missing.
     let uncommented: String = EXAMPLE
         .lines()
@@ -26,6 +26,7 @@
     assert!(most_sessions.is_some() && idle_limit_s.is_some() && keepalive.is_some());
     let mysql = file.mysql.unwrap();
     assert!(!mysql.users.is_empty() && !mysql.engines.is_empty());
+    assert!(!file.control.unwrap().machines.get_ref().is_empty());
     for key in ["backlog", "turn_ms", "messages_per_turn", "bytes_per_turn"] {
         assert!(EXAMPLE.lines().any(|l| l.starts_with(&format!("{key} = "))), "{key}");
     }
@@ -52,6 +53,13 @@
         "f.toml:5: tenant: no tenant of the settings is called other"
     );
     assert!(error("[mysql]\nlisten = \"here\"\n").starts_with("f.toml:2: listen: "));
+    assert_eq!(error("[control]\nmachines = []\n"), "f.toml:2: machines: 0 machines are not within 1 and 64");
+    assert_eq!(
+        error("[control]\nmachines = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n"),
+        "f.toml:2: machines: 127.0.0.1:1 is named twice"
+    );
+    assert!(error("[control]\nmachines = [\"here\"]\n").starts_with("f.toml:2: machines: "));
+    assert!(error("[control]\n").contains("missing field `machines`"));
 }
 
 #[test]
--- /dev/null
+++ b/gateway/src/settings_change/tests.rs
@@ -0,0 +1,172 @@
+//! Numbers of classes, kinds, zones and tenants through changes, against what names say.
+
+use super::*;
+use crate::config::{SiteSettings, site_settings_text};
+
+const BASE: &str = r#"{
+  "allowed":{"cancelling":true,"max-attempts":3,"max-retry-after-s":0.5,"retry-after":true},
+  "balancers":1,
+  "classes":[
+   {"aim-s":0.6,"deadline-s":3.0,"name":"lookup","repeat":"pure"},
+   {"aim-s":2.0,"deadline-s":20.0,"name":"report","repeat":"pure","allowed-on":["k"]},
+   {"aim-s":4.0,"deadline-s":25.0,"name":"load","repeat":"side_effect","keep-order":true}],
+  "domain":{"kind-cores":[16],"memory-by-kind-mb":[32768.0],"parallelism":[1,4,2]},
+  "kinds":["k"],"locality":"z","zones":["z"],
+  "projects":[{"name":"acme","quota-per-s":100.0}],
+  "report":{"how":"answers"},"resolution-s":0.005,
+  "rules":{"order-pause-s":0.3}}"#;
+
+const LOOKUP: &str = r#"   {"aim-s":0.6,"deadline-s":3.0,"name":"lookup","repeat":"pure"},
+"#;
+
+fn site(text: &str) -> SiteSettings {
+    site_settings_text(text).unwrap()
+}
+
+/// Settings in force and what is under way, as the gateway has them.
+struct InForce {
+    names: Names,
+    settings: Settings,
+    in_use: BTreeSet<ClassId>,
+}
+
+impl InForce {
+    fn new() -> Self {
+        let site = site(BASE);
+        Self { names: site.names, settings: site.settings, in_use: BTreeSet::new() }
+    }
+
+    fn plan(&self, text: &str) -> Result<Plan, Refusal> {
+        let fresh = site(text);
+        let old = Named { names: &self.names, settings: &self.settings };
+        let fresh = Named { names: &fresh.names, settings: &fresh.settings };
+        plan(old, fresh, &self.in_use, std::iter::empty())
+    }
+
+    /// Takes it over and says where the classes come from.
+    fn take(&mut self, text: &str) -> Vec<ClassOrigin> {
+        let plan = self.plan(text).unwrap();
+        (self.names, self.settings) = (plan.names, plan.change.settings);
+        plan.change.origins
+    }
+}
+
+fn deadline(seconds: u32) -> String {
+    BASE.replace("\"deadline-s\":3.0", &format!("\"deadline-s\":{seconds}.0"))
+}
+
+#[test]
+fn the_same_settings_change_no_number() {
+    let mut in_force = InForce::new();
+    let before = (in_force.names.classes.clone(), in_force.settings.clone());
+    assert_eq!(in_force.take(BASE), [ClassOrigin::Kept; 3]);
+    assert_eq!((in_force.names.classes, in_force.settings), before);
+}
+
+#[test]
+fn classes_go_by_name_and_not_by_place() {
+    let mut in_force = InForce::new();
+    let moved = BASE.replace(LOOKUP, "").replace("\"parallelism\":[1,4,2]", "\"parallelism\":[4,2]");
+    let moved = moved.replace(
+        "\"keep-order\":true}]",
+        "\"keep-order\":true},\n{\"aim-s\":1,\"deadline-s\":1,\"name\":\"new\"}]",
+    );
+    assert_eq!(in_force.take(&moved), [ClassOrigin::New, ClassOrigin::Kept, ClassOrigin::Kept]);
+    let class = |name: &str| in_force.names.class(name);
+    assert_eq!((class("lookup"), class("report"), class("load")), (None, Some(ClassId(1)), Some(ClassId(2))));
+    assert_eq!(class("new"), Some(ClassId(0)), "nothing was under way in the slot of lookup");
+}
+
+#[test]
+fn what_is_under_way_keeps_its_class_until_it_has_ended() {
+    let mut in_force = InForce::new();
+    in_force.in_use.insert(ClassId(0));
+    let origins = in_force.take(&deadline(5));
+    let kept = ClassOrigin::Kept;
+    assert_eq!(origins, [ClassOrigin::Retired, kept, kept, ClassOrigin::Follows(ClassId(0))]);
+    assert_eq!(in_force.names.class("lookup"), Some(ClassId(3)));
+    assert_eq!(in_force.settings.classes[0].deadline, 3.0, "the rule that it came with");
+    assert_eq!(in_force.settings.classes[3].deadline, 5.0);
+    assert_eq!(in_force.names.classes[0], "lookup", "engines and figures still know it by its name");
+    // Even the old settings again don't bring a retired class back while its slot is in use.
+    let origins = in_force.take(BASE);
+    assert_eq!(origins[0], ClassOrigin::Retired);
+    assert_eq!(origins[3], ClassOrigin::Follows(ClassId(3)));
+    in_force.in_use.clear();
+    let origins = in_force.take(&deadline(7));
+    assert_eq!(origins[0], ClassOrigin::Follows(ClassId(3)), "the slot is used again");
+    assert_eq!(origins[3], ClassOrigin::Retired);
+}
+
+#[test]
+fn many_changes_take_no_more_slots_than_are_in_use() {
+    let mut in_force = InForce::new();
+    for n in 0..3_100 {
+        // What came before the change is under way until the next one.
+        in_force.in_use = in_force.names.class("lookup").into_iter().collect();
+        in_force.take(&deadline(n % 50 + 1));
+        assert_eq!(
+            in_force.names.class("lookup").map(|c| in_force.settings.classes[c.0].deadline),
+            Some(f64::from(n % 50 + 1))
+        );
+    }
+    assert!(in_force.settings.classes.len() <= 5, "{} slots", in_force.settings.classes.len());
+    let tenant = |n| BASE.replace("acme", &format!("tenant-{n}"));
+    for n in 0..1_000 {
+        in_force.take(&tenant(n));
+    }
+    assert_eq!(in_force.settings.tenants.len(), 1);
+}
+
+#[test]
+fn tenants_keep_their_numbers_by_name() {
+    let mut in_force = InForce::new();
+    let two = r#""projects":[{"name":"new","quota-per-s":1.0},{"name":"acme","quota-per-s":2.0}]"#;
+    let projects = r#""projects":[{"name":"acme","quota-per-s":100.0}]"#;
+    in_force.take(&BASE.replace(projects, two));
+    assert_eq!(in_force.names.tenant("acme"), Some(TenantId(0)));
+    assert_eq!(in_force.names.tenant("new"), Some(TenantId(1)));
+    assert_eq!([0, 1].map(|at| in_force.settings.tenants[at].quota), [2.0, 1.0]);
+    in_force.take(&BASE.replace(projects, r#""projects":[{"name":"new","quota-per-s":1.0}]"#));
+    assert_eq!((in_force.names.tenant("acme"), in_force.names.tenant("new")), (None, Some(TenantId(1))));
+}
+
+#[test]
+fn kinds_and_zones_keep_the_numbers_that_engines_go_by() {
+    let mut in_force = InForce::new();
+    // The list names a kind that the settings don't.
+    assert_eq!(Names::number(&mut in_force.names.kinds, "of-the-list"), 1);
+    let text = BASE.replace("\"kinds\":[\"k\"]", "\"kinds\":[\"big\",\"k\"]");
+    let text = text.replace(
+        "\"kind-cores\":[16],\"memory-by-kind-mb\":[32768.0]",
+        "\"kind-cores\":[64,8],\"memory-by-kind-mb\":[9.0,7.0]",
+    );
+    let origins = in_force.take(&text);
+    assert_eq!(origins, [ClassOrigin::Kept; 3], "a class bound to a kind is the same class");
+    assert_eq!(in_force.names.kinds, ["k", "of-the-list", "big"]);
+    let kind = |at: usize| (in_force.settings.kinds[at].cores, in_force.settings.kinds[at].memory_mb);
+    assert_eq!((kind(0), kind(2)), ((8.0, 7.0), (64.0, 9.0)));
+    assert_eq!(kind(1).1, 0.0, "nothing is known of its memory");
+}
+
+#[test]
+fn what_cannot_change_in_service_is_refused_with_its_reason() {
+    let mut in_force = InForce::new();
+    let refused = |text: &str, part: &str| {
+        let reason = in_force.plan(text).unwrap_err().to_string();
+        assert!(reason.contains(part), "{reason}");
+    };
+    refused(&BASE.replace("\"locality\":\"z\"", "\"locality\":\"y\""), "own zone (locality) can't change");
+    refused(&BASE.replace("\"how\":\"answers\"", "\"how\":\"none\""), "report.how");
+    refused(&BASE.replace("\"report\",\"repeat\"", "\"lookup\",\"repeat\""), "classes names lookup twice");
+    refused(&BASE.replace("\"deadline-s\":3.0", "\"deadline-s\":0"), "class lookup");
+    let fresh = site(BASE);
+    let named = Named { names: &in_force.names, settings: &in_force.settings };
+    let new = Named { names: &fresh.names, settings: &fresh.settings };
+    let missing = plan(named, new, &BTreeSet::new(), ["gone"].into_iter()).unwrap_err();
+    assert_eq!(missing, Refusal::TenantInUse("gone".to_owned()));
+    in_force.names.zones.extend((0..MOST_PLACES).map(|n| n.to_string()));
+    let text = BASE.replace("\"zones\":[\"z\"]", "\"zones\":[\"z\",\"new\"]");
+    assert_eq!(in_force.plan(&text).unwrap_err(), Refusal::TooManyNames { list: "zones" });
+    assert!(in_force.plan(BASE).is_ok(), "what brings no name is taken all the same");
+}
--- a/gateway/src/tenants.rs
+++ b/gateway/src/tenants.rs
@@ -24,6 +24,11 @@
         Self { accounts: accounts.into_iter().collect() }
     }
 
+    /// The tenants of all users.
+    pub fn tenants(&self) -> impl Iterator<Item = &str> {
+        self.accounts.values().map(|account| &*account.tenant)
+    }
+
     /// Finds a user.
     pub fn look_up(&self, user: &str) -> Option<&Account> {
         self.accounts.get(user)
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! loopback, with ports that the system chooses.
 #![allow(dead_code, missing_docs)]
 
+pub mod control;
+pub mod held;
 pub mod manual;
 pub mod mysql;
 pub mod pg;
@@ -457,6 +459,14 @@
         Self::launch(folder, ([127, 0, 0, 1], 0).into(), None, true)
     }
 
+    /// The same, following these control machines.
+    pub fn controlled(entries: &str, machines: &[SocketAddr], change: impl Fn(String) -> String) -> Self {
+        let list = machines.iter().map(|machine| format!("\"{machine}\"")).collect::<Vec<_>>().join(", ");
+        let operator = format!("[control]\nmachines = [{list}]\n");
+        let folder = Self::scripted_folder(entries, None, &operator, change);
+        Self::launch(folder, ([127, 0, 0, 1], 0).into(), None, true)
+    }
+
     fn scripted_folder(
         entries: &str,
         coordinator: Option<SocketAddr>,
--- /dev/null
+++ b/gateway/tests/configuration.rs
@@ -0,0 +1,423 @@
+//! Settings taken over in service from a control machine, with requests held and out meanwhile. Engines and control
+//! machines are scripted; the order of events is the test's, and no verdict is by the clock.
+
+mod common;
+
+use common::control::{ControlMachine, ControlStream, changed, delta, snapshot, start_settings};
+use common::held::HeldEngines;
+use common::script::Peer;
+use common::{Gateway, pg};
+use wrenhatch_configuration::{Document, Report, Version};
+
+fn id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+fn query(n: u64, class: &str, more: &str) -> String {
+    format!("/* c={class},i={},d=20000{more} */ SELECT v FROM sales_17.orders", id(n))
+}
+
+/// Sends a request and waits until it is taken.
+fn ask(gateway: &Gateway, n: u64, class: &str, more: &str) -> pg::Client {
+    let mut client = pg::Client::connect(gateway.pg);
+    client.send(&query(n, class, more));
+    gateway.logged(&format!("taken ticket=\"{}\"", id(n)));
+    client
+}
+
+fn is_served(client: &mut pg::Client, n: u64) {
+    assert_eq!(client.answer(), pg::Answer::Rows(vec![vec![id(n)]]));
+}
+
+/// The words of an error that a statement is turned down with.
+fn turned_down(gateway: &Gateway, text: &str) -> String {
+    match pg::Client::connect(gateway.pg).query(text) {
+        pg::Answer::Error(code, words) => format!("{code} {words}"),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn status(gateway: &Gateway) -> String {
+    let (code, text) = gateway.call("GET /status");
+    assert_eq!(code, 200);
+    text
+}
+
+fn keeps_order(config: String) -> String {
+    config.replace("\"name\":\"load\",", "\"name\":\"load\",\"keep-order\":true,")
+}
+
+/// A gateway in front of two engines that follows one control machine.
+fn follow(change: impl Fn(String) -> String) -> (Gateway, HeldEngines, ControlMachine, ControlStream) {
+    let (engines, machine) = (HeldEngines::start(&["e1", "e2"]), ControlMachine::start());
+    let gateway = Gateway::controlled(&engines.entries, &[machine.address], change);
+    let stream = machine.stream();
+    assert_eq!(stream.version, 0);
+    (gateway, engines, machine, stream)
+}
+
+#[test]
+fn a_class_ordered_no_longer_orders_only_what_came_before() {
+    let (gateway, engines, machine, mut stream) = follow(keeps_order);
+    let mut first = ask(&gateway, 1, "load", ",o=k");
+    let first_out = engines.next_start(&id(1));
+    let mut second = ask(&gateway, 2, "load", ",o=k");
+    // The document of the start has no order, unlike the gateway's own file.
+    stream.send(&snapshot(1, &start_settings().parse().unwrap()));
+    machine.applied(1);
+    let mut third = ask(&gateway, 3, "load", ",o=k");
+    engines.next_start(&id(3)).row();
+    is_served(&mut third, 3);
+    first_out.row();
+    is_served(&mut first, 1);
+    engines.next_start(&id(2)).row();
+    is_served(&mut second, 2);
+    assert_eq!(gateway.told("served.load"), 3, "counted by name, whatever the number");
+    assert!(status(&gateway).contains("\nconfiguration.in_force=1\nconfiguration.newest_seen=1\n"));
+    assert!(gateway.log().contains("configuration in force version=1"));
+}
+
+#[test]
+fn once_only_work_that_is_out_is_not_repeated_when_its_class_becomes_repeatable() {
+    let (e1, e2, machine) = (Peer::new("e1"), Peer::new("e2"), ControlMachine::start());
+    let entries = [e1.entry("Ready"), e2.entry("Terminating")].join(",");
+    let coordinator = Peer::new("c");
+    let gateway = Gateway::controlled(&entries, &[machine.address], |config| {
+        config.replace("\"known\":", &format!("\"coordinator\":\"{}\",\"known\":", coordinator.address))
+    });
+    let (mut watch, _) = coordinator.watch();
+    watch.stream();
+    let mut stream = machine.stream();
+    let mut client = ask(&gateway, 1, "load", "");
+    let mut wire = e1.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    let pure = changed(|text| text.replace("\"repeat\":\"side_effect\"", "\"repeat\":\"pure\""));
+    stream.send(&snapshot(1, &pure));
+    machine.applied(1);
+    watch.event(2, &e2.entry("Ready"));
+    gateway.logged("name=\"e2\" state=Ready");
+    drop(e1);
+    wire.reset();
+    assert!(matches!(client.answer(), pg::Answer::Error(code, _) if !code.starts_with("53")));
+    assert!(e2.is_left_alone(), "it may have run");
+    // The same of one that came later may be repeated, which shows that the change counts.
+    let mut client = ask(&gateway, 2, "load", "");
+    let mut wire = e2.accept();
+    assert_eq!(wire.call().ticket(), id(2));
+    wire.row(&id(2));
+    is_served(&mut client, 2);
+}
+
+#[test]
+fn a_shorter_deadline_holds_for_new_requests_alone() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let mut before = ask(&gateway, 1, "report", "");
+    let out = engines.next_start(&id(1));
+    stream.send(&snapshot(1, &changed(|text| text.replace("\"deadline-s\":20.0", "\"deadline-s\":0.4"))));
+    machine.applied(1);
+    let mut after = ask(&gateway, 2, "report", "");
+    assert!(matches!(after.answer(), pg::Answer::Error(..)), "its time is over");
+    out.row();
+    is_served(&mut before, 1);
+    assert_eq!((gateway.told("served.report"), gateway.told("attempts.report")), (1, 2));
+}
+
+#[test]
+fn limits_and_projects_are_in_force_at_once() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let mut first = ask(&gateway, 1, "report", ",t=acme");
+    let out = engines.next_start(&id(1));
+    let change = |text: String| {
+        let text = text.replace("\"max-open\":20000", "\"max-open\":1");
+        text.replace("\"name\":\"acme\"", "\"name\":\"other\"")
+    };
+    let narrow = changed(change);
+    stream.send(&snapshot(1, &narrow));
+    machine.applied(1);
+    assert!(turned_down(&gateway, &query(2, "report", ",t=other")).starts_with("53"), "one is open already");
+    assert!(turned_down(&gateway, &query(3, "report", ",t=acme")).contains("unknown tenant"));
+    let wide = changed(|text| text.replace("\"name\":\"acme\"", "\"name\":\"other\""));
+    stream.send(&delta((1, &narrow), (2, &wide)));
+    machine.applied(2);
+    let mut second = ask(&gateway, 4, "report", ",t=other");
+    engines.next_start(&id(4)).row();
+    is_served(&mut second, 4);
+    out.row();
+    is_served(&mut first, 1);
+}
+
+#[test]
+fn a_class_that_goes_is_unknown_to_new_requests_and_one_that_comes_is_known() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let mut first = ask(&gateway, 1, "report", "");
+    let out = engines.next_start(&id(1));
+    assert!(turned_down(&gateway, &query(2, "digest", "")).contains("unknown class"));
+    stream.send(&snapshot(1, &changed(|text| text.replace("\"name\":\"report\"", "\"name\":\"digest\""))));
+    machine.applied(1);
+    assert!(turned_down(&gateway, &query(3, "report", "")).contains("unknown class"));
+    let mut second = ask(&gateway, 4, "digest", "");
+    engines.next_start(&id(4)).row();
+    is_served(&mut second, 4);
+    out.row();
+    is_served(&mut first, 1);
+    assert_eq!((gateway.told("served.digest"), gateway.told("served.report")), (1, 1));
+}
+
+#[test]
+fn a_bad_one_is_refused_whole_with_its_reason_and_the_old_one_stays() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let good = changed(|text| text.replace("\"max-attempts\":3", "\"max-attempts\":2"));
+    stream.send(&snapshot(1, &good));
+    machine.applied(1);
+    let bad = |what: &str, by: &str| {
+        changed(|text| text.replace("\"name\":\"report\"", "\"name\":\"digest\"").replace(what, by))
+    };
+    let cases = [
+        (bad("\"locality\":\"z\"", "\"locality\":\"y\""), "own zone (locality) can't change"),
+        (bad("\"deadline-s\":3.0", "\"deadline-s\":-3.0"), "deadline of class 0 is -3"),
+        (bad("\"aim-s\":4.0", "\"aim-s\":\"4\""), "a number expected"),
+        (bad("\"how\":\"answers\"", "\"how\":\"none\""), "how engines report"),
+    ];
+    for (version, (document, part)) in (2..).zip(cases) {
+        stream.send(&snapshot(version, &document));
+        let Report::Refused { version: told, reason, in_force } = machine.report() else { panic!() };
+        assert_eq!((told, in_force), (Version(version), Version(1)));
+        assert!(reason.contains(part), "{reason}");
+        assert!(
+            turned_down(&gateway, &query(version, "digest", "")).contains("unknown class"),
+            "nothing of it"
+        );
+        let text = status(&gateway);
+        assert!(text.contains(&format!("in_force=1\nconfiguration.newest_seen={version}\n")), "{text}");
+        assert!(text.contains(&format!("configuration.refused={version} ")) && text.contains(part), "{text}");
+    }
+    assert!(gateway.log().contains("configuration refused version=2 in_force=1"));
+    let mut client = ask(&gateway, 20, "report", "");
+    engines.next_start(&id(20)).row();
+    is_served(&mut client, 20);
+    // A good one counts again, on top of the one in force.
+    stream.send(&delta((1, &good), (9, &start_settings().parse().unwrap())));
+    machine.applied(9);
+    assert!(!status(&gateway).contains("refused"));
+}
+
+#[test]
+fn an_older_one_after_a_newer_one_and_one_told_twice_change_nothing() {
+    let (gateway, _engines, machine, mut stream) = follow(|config| config);
+    let named =
+        |name: &str| changed(|text| text.replace("\"name\":\"report\"", &format!("\"name\":\"{name}\"")));
+    let (third, fifth, sixth) = (named("third"), named("fifth"), named("sixth"));
+    stream.send(&snapshot(5, &fifth));
+    machine.applied(5);
+    stream.send(&snapshot(3, &third));
+    stream.send(&snapshot(5, &fifth));
+    stream.send(&delta((3, &third), (4, &sixth)));
+    // What comes in order behind them shows that they were seen and changed nothing.
+    let step = delta((5, &fifth), (6, &sixth));
+    stream.send(&step);
+    stream.send(&step);
+    machine.applied(6);
+    stream.send(&snapshot(5, &fifth));
+    stream.send(&delta((6, &sixth), (7, &fifth)));
+    machine.applied(7);
+    assert!(status(&gateway).contains("configuration.in_force=7\n"));
+    for name in ["third", "sixth", "report"] {
+        assert!(turned_down(&gateway, &query(1, name, "")).contains("unknown class"));
+    }
+}
+
+#[test]
+fn a_difference_to_something_else_leads_to_a_snapshot() {
+    let (gateway, _engines, machine, mut stream) = follow(|config| config);
+    let one = changed(|text| text.replace("\"max-attempts\":3", "\"max-attempts\":1"));
+    let two = changed(|text| text.replace("\"max-attempts\":3", "\"max-attempts\":2"));
+    let few = changed(|text| text.replace("\"max-open\":20000", "\"max-open\":5"));
+    stream.send(&snapshot(1, &one));
+    machine.applied(1);
+    // From a version that it does not have.
+    stream.send(&delta((7, &two), (8, &one)));
+    let mut stream = machine.stream();
+    assert_eq!(stream.version, 1, "it says what it has");
+    // From its version, but with other contents: what comes out has not the digest that was told.
+    stream.send(&delta((1, &start_settings().parse().unwrap()), (8, &few)));
+    let mut stream = machine.stream();
+    assert_eq!(stream.version, 0, "it asks for everything");
+    assert!(status(&gateway).contains("configuration.in_force=1\n"));
+    stream.send(&snapshot(8, &two));
+    machine.applied(8);
+}
+
+#[test]
+fn a_machine_lost_half_way_is_followed_by_the_next() {
+    let (engines, machines) =
+        (HeldEngines::start(&["e1"]), [ControlMachine::start(), ControlMachine::start()]);
+    let addresses = [machines[0].address, machines[1].address];
+    let gateway = Gateway::controlled(&engines.entries, &addresses, |config| config);
+    let (first, second) = if machines[0].is_first_of(&machines[1]) { (0, 1) } else { (1, 0) };
+    let document = changed(|text| text.replace("\"name\":\"report\"", "\"name\":\"digest\""));
+    let message = format!("data: {}\n\n", snapshot(1, &document));
+    let mut stream = machines[first].stream();
+    stream.wire.say(&message[..message.len() / 2]);
+    stream.wire.reset();
+    let mut stream = machines[second].stream();
+    assert_eq!(stream.version, 0);
+    assert!(turned_down(&gateway, &query(1, "digest", "")).contains("unknown class"));
+    stream.wire.say(&message);
+    machines[second].applied(1);
+    let mut client = ask(&gateway, 2, "digest", "");
+    engines.next_start(&id(2)).row();
+    is_served(&mut client, 2);
+}
+
+#[test]
+fn a_message_may_come_byte_by_byte_and_counts_only_whole() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let document = changed(|text| text.replace("\"name\":\"report\"", "\"name\":\"digest\""));
+    let message = format!("id: 1\r\ndata: {}\r\n\r\n", snapshot(1, &document));
+    // Cut off at places all over it; what is said before keeps the pause to the next stream short.
+    let pieces = 16;
+    for cut in (0..pieces).map(|n| n * message.len() / pieces) {
+        stream.current(0);
+        stream.wire.say(&message[..cut]);
+        stream.wire.reset();
+        stream = machine.stream();
+        assert_eq!(stream.version, 0, "cut at {cut}");
+        assert!(turned_down(&gateway, &query(1, "digest", "")).contains("unknown class"), "cut at {cut}");
+    }
+    for byte in message.as_bytes() {
+        stream.wire.say(std::str::from_utf8(&[*byte]).unwrap());
+    }
+    machine.applied(1);
+    let mut client = ask(&gateway, 2, "digest", "");
+    engines.next_start(&id(2)).row();
+    is_served(&mut client, 2);
+}
+
+#[test]
+fn a_report_that_is_not_taken_is_sent_again() {
+    let (_gateway, _engines, machine, mut stream) = follow(|config| config);
+    machine.turn_down(2);
+    stream.send(&snapshot(1, &changed(|text| text.replace("\"max-attempts\":3", "\"max-attempts\":2"))));
+    machine.applied(1);
+}
+
+#[test]
+fn a_machine_that_falls_silent_is_followed_by_the_next() {
+    let (engines, machines) =
+        (HeldEngines::start(&["e1"]), [ControlMachine::start(), ControlMachine::start()]);
+    let addresses = [machines[0].address, machines[1].address];
+    let gateway = Gateway::controlled(&engines.entries, &addresses, |config| config);
+    let (first, second) = if machines[0].is_first_of(&machines[1]) { (0, 1) } else { (1, 0) };
+    let mut silent = machines[first].stream();
+    silent.current(0);
+    let mut stream = machines[second].stream();
+    assert!(gateway.log().contains("the control machine is silent"));
+    stream.send(&snapshot(1, &start_settings().parse().unwrap()));
+    machines[second].applied(1);
+}
+
+#[test]
+fn noise_in_the_stream_changes_nothing_and_is_followed_by_a_new_stream() {
+    let (gateway, _engines, machine, mut stream) = follow(|config| config);
+    let long = "x".repeat(100_000);
+    for noise in
+        ["data: {\"snapshot\":7}\n\n", "data: nothing\n\n", "data: {}\n\n", &format!("data: {long}\n\n")]
+    {
+        stream.current(0);
+        stream.wire.say(noise);
+        stream = machine.stream();
+        assert_eq!(stream.version, 0);
+    }
+    assert!(status(&gateway).contains("configuration.in_force=0\n"));
+    stream.send(&snapshot(1, &start_settings().parse().unwrap()));
+    machine.applied(1);
+}
+
+#[test]
+fn a_gateway_restarted_while_it_applies_has_the_newest_afterwards_and_repeats_nothing() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let _client = ask(&gateway, 1, "load", "");
+    let out = engines.next_start(&id(1));
+    let document = changed(|text| text.replace("\"name\":\"report\"", "\"name\":\"digest\""));
+    let message = snapshot(1, &document);
+    gateway.paused(|| {
+        stream.send(&message);
+        // It dies with the message in hand.
+        gateway.signal("-KILL");
+    });
+    let next = gateway.successor();
+    let mut stream = machine.stream();
+    assert_eq!(stream.version, 0, "it has what its file says");
+    stream.send(&message);
+    machine.applied(1);
+    out.row();
+    let mut client = ask(&next, 2, "digest", "");
+    engines.next_start(&id(2)).row();
+    is_served(&mut client, 2);
+}
+
+#[test]
+fn two_processes_of_an_upgrade_each_follow_and_the_one_that_ends_leaves() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let document = changed(|text| text.replace("\"name\":\"report\"", "\"name\":\"digest\""));
+    stream.send(&snapshot(1, &document));
+    machine.applied(1);
+    let mut client = ask(&gateway, 1, "digest", "");
+    let out = engines.next_start(&id(1));
+    let next = gateway.successor();
+    let mut fresh = machine.stream();
+    fresh.send(&snapshot(1, &document));
+    machine.applied(1);
+    gateway.terminate();
+    assert!(stream.wire.is_ended(), "it follows no longer, and serves what it has taken");
+    out.row();
+    is_served(&mut client, 1);
+    assert_eq!(gateway.wait().0, Some(0));
+    let mut client = ask(&next, 2, "digest", "");
+    engines.next_start(&id(2)).row();
+    is_served(&mut client, 2);
+}
+
+#[test]
+fn many_changes_with_requests_out_end_each_request_once() {
+    let (gateway, engines, machine, mut stream) = follow(keeps_order);
+    let document = |n: u64| -> Document {
+        let deadline = format!("\"deadline-s\":{}.0", 20 + n % 5);
+        changed(|text| {
+            keeps_order(text)
+                .replace("\"deadline-s\":25.0", &deadline)
+                .replace("\"max-attempts\":3", "\"max-attempts\":4")
+        })
+    };
+    let mut before = document(0);
+    stream.send(&snapshot(1, &before));
+    machine.applied(1);
+    let mut waiting = std::collections::VecDeque::new();
+    for n in 1..=40 {
+        let client = ask(&gateway, n, "load", &format!(",o=k{n}"));
+        waiting.push_back((n, client, engines.next_start(&id(n))));
+        let after = document(n);
+        stream.send(&delta((n, &before), (n + 1, &after)));
+        machine.applied(n + 1);
+        before = after;
+        if waiting.len() > 3 {
+            let (n, mut client, out) = waiting.pop_front().unwrap();
+            out.row();
+            is_served(&mut client, n);
+        }
+    }
+    for (n, mut client, out) in waiting {
+        out.row();
+        is_served(&mut client, n);
+    }
+    assert_eq!((gateway.told("served.load"), gateway.told("attempts.load")), (40, 40));
+    assert_eq!((gateway.told("in_flight"), gateway.told("failed.load")), (0, 0));
+    assert!(engines.has_started_no_other());
+}
+
+#[test]
+fn without_a_control_table_nothing_is_followed_and_the_status_is_as_it_was() {
+    let engines = HeldEngines::start(&["e1"]);
+    let gateway = Gateway::scripted_with_door(&engines.entries, |config| config);
+    assert_eq!(status(&gateway), "ready\n");
+}
--- a/sessions/src/governor.rs
+++ b/sessions/src/governor.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// Puts other limits in force. What was learned stays.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// What it keeps to.
     pub fn limits(&self) -> &Limits {
         &self.limits
