--- a/src/policy.rs
+++ b/src/policy.rs
@@ -560,14 +560,13 @@
         let work = request.estimate.map_or(*mean, |work| work.min(HEAVY * *mean));
         let size = work / mean.max(1e-6);
         *mean += NEWEST * (work - *mean);
-        let key = request.key.filter(|_| self.s.classes[request.class.0].keep_order);
-        if let Some(key) = key {
+        if let Some(key) = request.key {
             self.keys.entry(key).or_default().order.push_back(request.id);
         }
         // The end is planned at once, whatever becomes of attempts, lists and other timers.
         let delay = (request.deadline - self.s.resolution - now).max(0.0);
         actions.push(Action::SetTimer { delay, token: request.id.0 + 1, of: Some(request.id) });
-        let (request, place) = (Request { key, ..request.clone() }, self.arrivals);
+        let (request, place) = (request.clone(), self.arrivals);
         self.held.insert(place, request.id);
         let (attempts, withdrawn, erred, may_have_run) = (0, false, None, None);
         let job = Job { request, arrived: now, place, size, attempts, withdrawn, erred, may_have_run };
@@ -581,8 +580,7 @@
         let effect = self.s.classes[job.request.class.0].effect;
         if !ran || matches!(effect, Effect::Safe | Effect::Keyed { group: RepeatGroup::All, .. }) {
             // Spread, so that clients do not come back in step.
-            let spread = 0.5 + 0.5 * fraction(self.rng.next_u32());
-            let wait = spread * self.s.allowed.max_retry_after;
+            let wait = (0.5 + 0.5 * fraction(self.rng.next_u32())) * self.s.allowed.max_retry_after;
             let retry_after = (advises && self.s.allowed.retry_after).then_some(wait);
             actions.push(Action::Refuse { request: id, retry_after });
         } else {
@@ -874,7 +872,8 @@
         // By class and what is borne: the engines that admit it till the next send, the least need unmet.
         let mut admitting: Vec<[Option<Vec<EngineId>>; 2]> = vec![[None, None]; 2 * self.classes.len()];
         let mut full = vec![f64::INFINITY; 2 * self.classes.len()];
-        let held: Vec<RequestId> = self.held.values().copied().collect();
+        let has_turn = |id: &RequestId| self.has_turn(&self.jobs[id].request, now);
+        let held: Vec<RequestId> = self.held.values().copied().filter(has_turn).collect();
         for id in held {
             let job = &self.jobs[&id];
             let (class, need_mb) = (job.request.class, job.request.need_mb.unwrap_or(0.0));
@@ -982,7 +981,15 @@
         self.classes[class.0].dashboard || share <= 0.0 || alone || e.need_mb + need_mb <= share
     }
 
-    /// The rules that bind a send: drain, effect, number and budget of attempts, order of the key.
+    /// Whether it is first of its key, and no attempt of the key is out or might still run.
+    fn has_turn(&self, request: &Request, now: f64) -> bool {
+        let rests = |line: &KeyLine| line.rest.is_some_and(|(until, by)| by != request.id && now < until);
+        let is_free = |line: &KeyLine| line.out == 0 && !rests(line);
+        let line = request.key.and_then(|key| self.keys.get(&key));
+        line.is_none_or(|line| line.order.front() == Some(&request.id) && is_free(line))
+    }
+
+    /// The rules that bind a send: drain, effect, number and budget of attempts.
     fn may_send(&self, job: &Job, engine: EngineId, now: f64) -> bool {
         let e = &self.engines[&engine].entry;
         let first = job.may_have_run.map(|(first, _)| self.engines.get(&first).map(|f| &f.entry));
@@ -999,13 +1006,8 @@
                 within(&self.extra, edge - self.s.resolution) + 1.0
                     <= b.floor + b.ratio * within(&self.taken, edge)
             });
-        let has_turn = job.request.key.and_then(|k| self.keys.get(&k)).is_none_or(|line| {
-            line.order.front() == Some(&job.request.id)
-                && line.out == 0
-                && line.rest.is_none_or(|(until, id)| id == job.request.id || now >= until)
-        });
         let may_follow = e.state == EngineState::Ready && self.another_may_follow(job, now);
-        may_follow && in_group && in_budget && has_turn
+        may_follow && in_group && in_budget
     }
 
     /// The one place where anything is sent.
--- a/tests/reconfigure.rs
+++ b/tests/reconfigure.rs
@@ -96,7 +96,7 @@
     drive.now += 0.05;
     assert!(sends(&drive.look()).is_empty(), "the second waits for the first");
     let new = ClassId(settings().classes.len());
-    let third = keyed(&drive, 3, new);
+    let third = Event::Arrived(Request { class: new, ..drive.request(3, LOAD) });
     assert!(!sends(&drive.event(&third)).is_empty(), "a new one takes no turn");
     assert!(!sends(&drive.ended(1, 0, engine, Outcome::Success, 0.1)).is_empty());
 }
