Take no engine for full where this gateway's own threads show that it is not

Every send also raised the figure, and only the next secondary answer put it right: with hardly any out it stayed above the bar.

Where answers bring no reports and a share is two threads or more, an engine now counts as no fuller than this gateway's own threads there make it, if others send alike. LoopTerms.stand_in and the pool's own_books were one thing, and are one field now.

The test fails without the bound.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,8 +29,7 @@
 const ERRED: (f64, f64) = (0.03, 0.5); // strikes of an error: at once, and once another engine did better
 const WELL: u32 = 16; // attempts out at which an engine on its way back counts as well again
 const FULL_REST: f64 = 0.25; // seconds' rest of an engine that turned an attempt away
-// Load reports: fullness is 1 where an engine is full.
-const FULL: f64 = 2.0; // threads a core of a full engine
+const FULL: f64 = 2.0; // threads a core of a full engine, whose fullness is 1
 const MEMORY: f64 = 0.75; // share of an engine's memory that its queries may need by the books of one gateway
 const SPILLS: f64 = 1.3; // what granted memory counts where more of it means spilling
 const BAR: f64 = 0.8; // fullness over which secondary work is not sent
@@ -72,6 +71,7 @@
 #[derive(Default)]
 struct Loop {
     cores: f64,
+    share: f64,     // This gateway's share of them.
     error_sum: f64, // E, the error sum, in seconds.
     threshold: f64, // C, the threshold, in threads of this gateway's secondary work.
     completed: u32, // Dashboard completions of this control interval: how many, and their latencies' sum.
@@ -86,26 +86,26 @@
     objective: f64,
     gain: f64,
     start: f64,
-    stand_in: bool, // Answers bring no reports.
 }
 
 impl Loop {
     fn new(now: f64, cores: f64, t: &LoopTerms) -> Self {
-        let start = cores * t.start;
-        let error_sum = t.start / t.gain;
-        Self { cores, error_sum, threshold: start, opened: now, ceiling: 2.0 * start, ..Self::default() }
+        let share = cores * t.start;
+        let (threshold, ceiling, error_sum) = (share, 2.0 * share, t.start / t.gain);
+        Self { cores, share, error_sum, threshold, opened: now, ceiling, ..Self::default() }
     }
 
     /// Other terms or another size of the engine: C and its ceiling stay the same times its start.
     fn rescale(&mut self, cores: f64, old: &LoopTerms, t: &LoopTerms) {
-        let times = cores * t.start / (self.cores * old.start);
+        let times = cores * t.start / self.share;
         self.error_sum *= times * (old.gain * self.cores) / (t.gain * cores);
-        (self.threshold, self.ceiling, self.cores) = (times * self.threshold, times * self.ceiling, cores);
+        (self.threshold, self.ceiling) = (times * self.threshold, times * self.ceiling);
+        (self.share, self.cores) = (cores * t.start, cores);
     }
 
     /// Floor and step of C: a thread, or half of a share that is smaller than two.
-    fn unit(&self, t: &LoopTerms) -> f64 {
-        (0.5 * t.start * self.cores).min(1.0)
+    fn unit(&self) -> f64 {
+        (0.5 * self.share).min(1.0)
     }
 
     /// Closes the control interval if it is over. With fewer than q completions, which are noise, R is filled
@@ -121,23 +121,23 @@
         let r = (self.latency_sum + missing * p.mean) / (completed + missing);
         // Where no answer tells how full the engine is, that stands in for R, at the aim where the bar is;
         // where shares are thin and reports tell nothing, at the aim where it is full.
-        let blind = !p.reported && self.unit(t) < 1.0;
-        let at_aim = if t.stand_in { BAR } else { 1.0 };
-        let r = if t.stand_in || blind { r.max(t.objective * fullness / at_aim) } else { r };
+        let blind = !p.reported && self.unit() < 1.0;
+        let at_aim = if p.own_books { BAR } else { 1.0 };
+        let r = if p.own_books || blind { r.max(t.objective * fullness / at_aim) } else { r };
         (self.completed, self.latency_sum, self.opened) = (0, 0.0, now);
         if !heard {
             return;
         }
         // An interval over its aim shows that C was above the engine's peak: halve its bound, so that it
         // climbs back a thread an interval, and only where C was used: else nothing was learned of a higher.
-        let raise = if self.used > 0.7 * self.ceiling { self.unit(t) } else { 0.0 };
+        let raise = if self.used > 0.7 * self.ceiling { self.unit() } else { 0.0 };
         self.used = 0.0;
         self.ceiling = if r > t.objective { 0.5 * self.ceiling } else { self.ceiling + raise };
         // Calculate and manipulate: E = E + (RS - R), C = max(unit, KI E). E stops where C does, at both
         // ends (anti-windup): an outside slowdown would else hold C low, and a quiet spell above the peak.
-        let (start, gain) = (self.cores * t.start, self.cores * t.gain);
-        self.ceiling = self.ceiling.clamp(start, CEILING * start);
-        self.error_sum = (self.error_sum + (t.objective - r)).clamp(self.unit(t) / gain, self.ceiling / gain);
+        let gain = self.cores * t.gain;
+        self.ceiling = self.ceiling.clamp(self.share, CEILING * self.share);
+        self.error_sum = (self.error_sum + (t.objective - r)).clamp(self.unit() / gain, self.ceiling / gain);
         self.threshold = gain * self.error_sum;
     }
 }
@@ -228,9 +228,8 @@
         self.stuck = (share + NEWEST * (stuck - share), now);
     }
 
-    /// Whether the budget of a cold engine has room for this work, were all gateways to send alike. Half of
-    /// it is for dashboards. A part of one request is rounded by chance, drawn anew for each window from the
-    /// second on: of many gateways as many send one as the engine can bear, not all of them or none.
+    /// Whether the budget of a cold engine has room for this, were all gateways to send alike. Half is for
+    /// dashboards. A part of one request is rounded by chance, anew each window: not all gateways send one.
     fn cold_budget_admits(&self, now: f64, view: &ClassView, c: &Class, s: &Settings) -> bool {
         let warmth = self.warmth(now, &s.rules);
         if warmth >= 1.0 {
@@ -316,7 +315,8 @@
     fullness: Option<f64>, // How full engines say that they are, in the mean of late answers.
     reported: bool,        // Reports do say so; else when the pace of secondary work said it last.
     paced: f64,
-    room_mb: f64, // This gateway's part of the memory of all engines, and what its attempts need of it.
+    own_books: bool, // Answers bring no reports: an engine is as full as own threads make it.
+    room_mb: f64,    // This gateway's part of the memory of all engines, and what its attempts need of it.
     need_mb: f64,
     width: f64, // Threads and memory of a query, in the mean of those that are out.
     memory_mb: f64,
@@ -328,10 +328,17 @@
 }
 
 impl Pool {
+    /// How full an engine can be by this gateway's threads, if others send alike; a thin share tells nothing.
+    fn full_at_most(&self, e: &Engine) -> f64 {
+        let known = self.own_books && e.feedback.share >= 2.0;
+        if known { e.threads / (FULL * e.feedback.share) } else { f64::INFINITY }
+    }
+
     /// How full an engine is by its last report, which with age says no more than that of all engines.
     fn fullness(&self, e: &Engine, now: f64) -> f64 {
         let mean = self.fullness.unwrap_or(0.0);
-        e.fullness.map_or(mean, |(f, at)| mean + (f - mean) * (-(now - at) / REPORT_LIFE).exp())
+        let told = e.fullness.map_or(mean, |(f, at)| mean + (f - mean) * (-(now - at) / REPORT_LIFE).exp());
+        if self.reported { told } else { told.min(self.full_at_most(e)) }
     }
 
     fn told(&mut self, fullness: f64, newest: f64) {
@@ -421,6 +428,7 @@
         self.objective = if objective.is_finite() { objective.max(1e-3) } else { 1.0 };
         self.light = self.light.min(self.objective);
         (self.s, self.classes) = (s, views);
+        self.pooled.own_books = self.s.allowed.reports != Reports::Answers;
         let terms = self.loop_terms();
         for e in self.engines.values_mut() {
             let kind = self.s.machine(e.entry.kind);
@@ -486,10 +494,9 @@
         let most = (rate * WORKING.0).max(WORKING.1) as usize;
         let paces: f64 = self.engines.values().map(|e| e.pace(now)).sum();
         self.pooled.pace = if self.engines.is_empty() { 1.0 } else { paces / self.engines.len() as f64 };
-        let slow = SLOW_FACTOR * self.pooled.pace;
         let rules = &self.s.rules;
         let ready = |e: &Engine| e.entry.state == EngineState::Ready && e.health.admits(now);
-        let fit = |e: &Engine| ready(e) && e.pace(now) < slow;
+        let fit = |e: &Engine| ready(e) && e.pace(now) < SLOW_FACTOR * self.pooled.pace;
         let mut order: Vec<u32> = self.engines.values().filter(|e| fit(e)).map(|e| e.order).collect();
         order.sort_unstable();
         let last = order.get(most).copied().unwrap_or(u32::MAX);
@@ -548,9 +555,8 @@
     /// them each does its part.
     fn loop_terms(&self) -> LoopTerms {
         let gateways = f64::from(self.s.gateways);
-        let stand_in = self.s.allowed.reports != Reports::Answers;
         let gain = 1.0 / (self.light.max(1e-3) * STEPS.max(gateways));
-        LoopTerms { objective: self.objective, gain, start: 1.0 / gateways, stand_in }
+        LoopTerms { objective: self.objective, gain, start: 1.0 / gateways }
     }
 
     fn arrived(&mut self, now: f64, request: &Request, actions: &mut Vec<Action>) {
@@ -603,8 +609,8 @@
     }
 
     fn ended(&mut self, now: f64, event: &Event, actions: &mut Vec<Action>) {
-        let &Event::Ended { request: id, attempt, engine, outcome, elapsed, .. } = event else { return };
-        let &Event::Ended { settled, may_run_for, cost, report, .. } = event else { return };
+        let &Event::Ended { request: id, attempt, engine, outcome, settled, .. } = event else { return };
+        let &Event::Ended { elapsed, may_run_for, cost, report, .. } = event else { return };
         self.reported(now, engine, report.as_ref());
         let Some(attempt) = self.attempts.remove(&(id, attempt)) else { return };
         let may_run = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn);
@@ -693,8 +699,7 @@
     /// A load report: the one sight of what other gateways send. Figures that make no sense are skipped.
     fn reported(&mut self, now: f64, id: EngineId, report: Option<&Report>) {
         let (Some(r), Some(e)) = (report, self.engines.get_mut(&id)) else { return };
-        let p = &self.pooled;
-        let filled = |queries: f64| e.filled_by(queries, p.width.max(1.0), p.memory_mb);
+        let filled = |queries: f64| e.filled_by(queries, self.pooled.width.max(1.0), self.pooled.memory_mb);
         let figures = [
             r.inflight.map(filled),
             r.queue.filter(|q| *q >= 1.0).map(|q| 1.0 + filled(q)),
@@ -718,7 +723,7 @@
         let newest = if view.times.0 > 0.0 { NEWEST } else { 1.0 };
         view.times.0 += newest * (times.min(HEAVY * view.times.0.max(1.0)) - view.times.0);
         view.times.1 = view.times.0.min(view.times.1 * 1.001);
-        let fullness = (BAR / SLOW_FACTOR * times / view.times.1).min(2.0);
+        let fullness = (BAR / SLOW_FACTOR * times / view.times.1).min(2.0).min(self.pooled.full_at_most(e));
         // It tells seldom: by number alone the mean would stay for long behind a jam that is over.
         let since = now - std::mem::replace(&mut self.pooled.paced, now);
         self.pooled.told(fullness, NEWEST.max(1.0 - (-since / REPORT_LIFE).exp()));
@@ -935,8 +940,7 @@
             && if view.dashboard {
                 e.threads - e.secondary < jam(e.feedback.cores) && p.threads - p.secondary < jam(p.cores)
             } else {
-                let threads = f64::from(c.threads);
-                (e.secondary + threads <= threshold || (e.secondary == 0.0 && borne))
+                (e.secondary + f64::from(c.threads) <= threshold || (e.secondary == 0.0 && borne))
                     && (!p.reported || p.fullness(e, now) < BAR)
             }
     }
@@ -953,12 +957,11 @@
         let held_on: Vec<EngineId> = attempts.filter(loads).map(|a| a.engine).collect();
         for engine in open {
             let chance = BLUR * fraction(self.rng.next_u32());
-            let job = &self.jobs[&id];
-            if !self.may_send(job, *engine, now) {
+            if !self.may_send(&self.jobs[&id], *engine, now) {
                 continue;
             }
             let e = &self.engines[engine];
-            let stands = held_on.contains(engine) || job.erred == Some(*engine);
+            let stands = held_on.contains(engine) || self.jobs[&id].erred == Some(*engine);
             let (cores, standing) = (e.feedback.cores, STANDS.0 * (e.stuck(now) - STANDS.1).max(0.0));
             let own = if dashboard { e.threads / cores } else { e.secondary - e.feedback.threshold };
             let filled = own + standing * if dashboard { 1.0 } else { cores };
@@ -971,9 +974,8 @@
         best.map(|(_, engine)| engine)
     }
 
-    /// Whether secondary work finds its memory in this gateway's share of the engine: beyond what there is
-    /// all slows down. What is too large for a share goes where it is alone while the shares of all engines
-    /// bear it, or nothing else is out. The more gateways, the less is left over: few fill theirs at once.
+    /// Whether secondary work finds its memory in this gateway's share of the engine. What is too large for
+    /// one goes where it is alone while all shares bear it, or nothing is out. More gateways leave less over.
     fn has_memory(&self, class: ClassId, need_mb: f64, e: &Engine) -> bool {
         let (n, p) = (f64::from(self.s.gateways), &self.pooled);
         let share = (1.0 - (1.0 - MEMORY) / n) * e.memory_mb / n;
@@ -984,9 +986,8 @@
     /// Whether it is first of its key, and no attempt of the key is out or might still run.
     fn has_turn(&self, request: &Request, now: f64) -> bool {
         let rests = |line: &KeyLine| line.rest.is_some_and(|(until, by)| by != request.id && now < until);
-        let is_free = |line: &KeyLine| line.out == 0 && !rests(line);
         let line = request.key.and_then(|key| self.keys.get(&key));
-        line.is_none_or(|line| line.order.front() == Some(&request.id) && is_free(line))
+        line.is_none_or(|line| line.order.front() == Some(&request.id) && line.out == 0 && !rests(line))
     }
 
     /// The rules that bind a send: drain, effect, number and budget of attempts.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -274,3 +274,22 @@
     // The others in order of arrival; nothing else asks then, and what the large one needs is saved up.
     assert_eq!(order, [1, 2, 4, 5, 6, 7, 3]);
 }
+
+/// A cause outside that slows all engines makes secondary work take longer, as a full engine would. Where this
+/// gateway's own threads show that an engine holds little, C stays: the engines would idle else.
+#[test]
+fn slow_engines_with_few_threads_do_not_lower_c() {
+    let mut s = thin();
+    (s.gateways, s.allowed.reports) = (1, Reports::Probes);
+    let mut drive = Drive::new(s, vec![engine(1)]);
+    drive.dashboards(9000, 6, 0.3);
+    let cost = Some(Cost { work: 1.0, memory_mb: 0.0 });
+    for (from, elapsed) in [(1000, 1.0), (2000, 4.0)] {
+        for round in from..from + 10 {
+            let on = sent_to(&drive.arrive(round, LOAD)).expect("C has room").0;
+            drive.served(round, on, elapsed, cost, None);
+            drive.dashboards(10 * round, 10, 0.3);
+        }
+    }
+    assert!(drive.room(90_000, LOAD) >= 8, "one thread of eight cores is out at a time");
+}
