Ask for a key's turn where a held request is looked at; bring pages up to what was joined

Cause: asking for all turns before the search looked each held request up twice.

The capacity page and its tool know that something carries changes of configuration, and take its figures in.

--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -54,6 +54,9 @@
     /// Figures of hollow runs; a file that is not there holds none.
     #[arg(long, default_value = "docs/capacity/hollow.json")]
     hollow: PathBuf,
+    /// Figures of configuration in service; a file that is not there holds none.
+    #[arg(long, default_value = "docs/capacity/configuration.json")]
+    configuration: PathBuf,
     /// Where the page goes.
     #[arg(long, default_value = "docs/CAPACITY.md")]
     output: PathBuf,
@@ -97,7 +100,8 @@
 
 fn make_page(options: &PageOptions) -> Result<(), CapacityError> {
     let target = Target::read(&options.target)?;
-    let (slopes, hollow) = (Slopes::read(&options.slopes)?, Hollow::read(&options.hollow)?);
+    let slopes = Slopes::read(&options.slopes)?;
+    let hollow = Hollow::read(&options.hollow)?.with_configuration(&options.configuration)?;
     let text = page::page(&target, &slopes, &hollow);
     let path = &options.output;
     if !options.check {
--- a/lab/src/capacity/page.rs
+++ b/lab/src/capacity/page.rs
@@ -134,6 +134,7 @@
     let rows = [
         ("configuration in service", "changes of classes"),
         ("configuration in service", "a version of the configuration"),
+        ("configuration in service", "were each change of configuration a restart"),
         ("configuration in service", "the file read again"),
         ("configuration in service", "the whole file, were it sent"),
         ("decisions that cost by engines", "statements, all of it"),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -884,7 +884,7 @@
             let (class, need_mb) = (job.request.class, job.request.need_mb.unwrap_or(0.0));
             let borne = self.is_borne(job);
             let kind = 2 * class.0 + usize::from(borne);
-            if need_mb >= full[kind] {
+            if need_mb >= full[kind] || !self.has_turn(&job.request, now) {
                 continue;
             }
             let (mut chosen, mut blocked) = (None, 0.0_f64);
