Refuse requests in order at once that come late to a line of their key

It looks as if a client's time runs on while its request waits for its key's turn to be written, and what it names is not brought up to date meanwhile (docs/design/second-deployment.md asks the operators). Ruled out: answers of the gateway that came late, as it had sent none; one try counted twice (ids differ).

Change: `is_hurried` in src/policy.rs. A request in order that comes with less than half of its class's deadline left is sent at once or refused at once: it is past its aim, and it made others wait that still had time.

The test fails without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -485,8 +485,7 @@
         self.count_pool(now);
     }
 
-    /// Counts the engines that may be sent to and adds up their C. Those that have gone are forgotten once no
-    /// attempt is out there: else their number grows for good.
+    /// Counts the engines that may be sent to, adds up their C, and forgets those gone with no attempt out.
     fn count_pool(&mut self, now: f64) {
         self.engines.retain(|_, e| e.entry.state != EngineState::Gone || e.threads > 0.0);
         // The working set: the first fit engines in this gateway's own order, as many as it has requests for.
@@ -540,8 +539,6 @@
             memory_mb,
             pace: (1.0, now),
             order: self.rng.next_u32() / if self.s.zone == Some(entry.zone) { 2 } else { 1 },
-            working: true,
-            part: 1.0,
             ..Engine::default()
         };
         let old = self.engines.insert(entry.engine, fresh);
@@ -551,8 +548,7 @@
         }
     }
 
-    /// RS, KI = P/(R n) and the start of C, for each core (4.8.5). All gateways correct at once: beyond n of
-    /// them each does its part.
+    /// RS, KI = P/(R n) and the start of C, for each core (4.8.5). Beyond n gateways each corrects its part.
     fn loop_terms(&self) -> LoopTerms {
         let gateways = f64::from(self.s.gateways);
         let gain = 1.0 / (self.light.max(1e-3) * STEPS.max(gateways));
@@ -684,8 +680,7 @@
         }
     }
 
-    /// Whether there is room for another attempt somewhere, from number, effect of the class, the outcomes so
-    /// far and the time left. Where it may go is for `may_send`.
+    /// Whether another attempt may follow, by number, effect, outcomes and time left; `may_send` says where.
     fn another_may_follow(&self, job: &Job, now: f64) -> bool {
         let most = self.s.allowed.max_attempts;
         let repeatable = match (self.s.classes[job.request.class.0].effect, job.may_have_run) {
@@ -849,7 +844,7 @@
         }
         let rests = |l: &KeyLine| l.rest.is_some_and(|(until, _)| now < until);
         self.keys.retain(|_, l| !l.order.is_empty() || l.out > 0 || rests(l));
-        let late = |job: &Job| now - job.arrived > self.patience(job.request.class);
+        let late = |job: &Job| now - job.arrived > self.patience(job.request.class) || self.is_hurried(job);
         let overdue = |id: &&RequestId| late(&self.jobs[id]) || !self.another_may_follow(&self.jobs[id], now);
         let overdue: Vec<RequestId> = self.held.values().filter(overdue).copied().collect();
         for id in overdue {
@@ -873,6 +868,12 @@
         (if view.dashboard { PATIENCE.0 } else { PATIENCE.1 }) * (aim - view.latency).max(0.3 * c.aim)
     }
 
+    /// Whether it came with little time left: one in order is then sent at once, or makes room in its line.
+    fn is_hurried(&self, job: &Job) -> bool {
+        let deadline = self.s.classes[job.request.class.0].deadline;
+        job.request.key.is_some() && job.request.deadline - job.arrived < 0.5 * deadline
+    }
+
     /// Sends what may leave, oldest first; one that is stopped blocks only those of its class with its need.
     fn release(&mut self, now: f64, actions: &mut Vec<Action>) {
         // By class and what is borne: the engines that admit it till the next send, the least need unmet.
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -38,6 +38,33 @@
     assert!(refused.iter().all(|(_, refused)| *refused));
 }
 
+/// A request of a key whose client waits for so many seconds more.
+fn keyed_until(drive: &Drive, id: u64, wait: f64) -> Event {
+    Event::Arrived(Request { key: Some(KeyId(5)), deadline: drive.now + wait, ..drive.request(id, LOAD) })
+}
+
+#[test]
+fn one_with_little_time_left_makes_room_in_the_line_of_its_key() {
+    const DEADLINE: f64 = 30.0;
+    let mut drive = waiting(0);
+    for (id, wait) in [(1, DEADLINE), (2, 0.49 * DEADLINE), (3, 0.51 * DEADLINE)] {
+        let event = keyed_until(&drive, id, wait);
+        drive.event(&event);
+    }
+    drive.now += 0.05;
+    assert_eq!(answers(&drive.look()), [(2, true)], "it alone is refused, and may come again");
+    // Where its key is free it is sent like any other.
+    let mut drive = Drive::new(settings(), vec![engine(1)]);
+    let event = keyed_until(&drive, 1, 0.49 * DEADLINE);
+    assert!(sent_to(&drive.event(&event)).is_some());
+    // Without a key it is held, as it keeps nobody from a turn.
+    let mut drive = Drive::new(settings(), Vec::new());
+    let request = Request { deadline: drive.now + 0.49 * DEADLINE, ..drive.request(1, LOAD) };
+    drive.event(&Event::Arrived(request));
+    drive.now += 0.05;
+    assert_eq!(answers(&drive.look()), []);
+}
+
 #[test]
 fn ten_thousand_keys_leave_nothing_behind() {
     let mut drive = Drive::new(settings(), vec![engine(1), engine(2)]);
