Test connection times and SIGHUP with a version in force, and ends of cuts

Those of configuration were seen to fail with the lines that they guard taken out (keepalive_us and connect_us in net/reconfigure.rs, the guard in net/reload.rs); the one of the connect time first passed without, as it counted what was sent, and now counts connections.

--- a/gateway/tests/configuration.rs
+++ b/gateway/tests/configuration.rs
@@ -3,6 +3,9 @@
 
 mod common;
 
+use std::thread;
+use std::time::Duration;
+
 use common::control::{ControlMachine, ControlStream, changed, delta, snapshot, start_settings};
 use common::held::HeldEngines;
 use common::script::Peer;
@@ -146,6 +149,71 @@
     is_served(&mut first, 1);
 }
 
+/// A gateway before this engine that was started with short times for its connections, and has long ones in force.
+fn with_longer_times(engine: &Peer) -> (Gateway, ControlMachine, ControlStream) {
+    let machine = ControlMachine::start();
+    let short = |config: String| config.replace("\"keepalive-s\":15.0", "\"keepalive-s\":0.5");
+    let gateway = Gateway::controlled(&engine.entry("Ready"), &[machine.address], short);
+    let mut stream = machine.stream();
+    let longer = changed(|text| {
+        let text = text.replace("\"keepalive-s\":15.0", "\"keepalive-s\":3600.0");
+        text.replace("\"connect-timeout-s\":0.25", "\"connect-timeout-s\":3600.0")
+    });
+    stream.send(&snapshot(1, &longer));
+    machine.applied(1);
+    (gateway, machine, stream)
+}
+
+/// Longer than any connection is kept or waited for by the short times.
+const LONGER: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_longer_keepalive_of_connections_to_engines_is_in_force_at_once() {
+    let engine = Peer::new("e1");
+    let (gateway, _machine, _stream) = with_longer_times(&engine);
+    let mut first = ask(&gateway, 1, "report", "");
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    wire.row(&id(1));
+    is_served(&mut first, 1);
+    thread::sleep(LONGER);
+    let mut second = ask(&gateway, 2, "report", "");
+    assert_eq!(wire.call().ticket(), id(2), "over the same connection");
+    wire.row(&id(2));
+    is_served(&mut second, 2);
+    assert!(engine.is_left_alone());
+}
+
+#[test]
+fn a_longer_time_for_connections_to_come_up_is_in_force_at_once() {
+    let mut engine = Peer::shut("e1");
+    let (gateway, _machine, _stream) = with_longer_times(&engine);
+    let mut client = ask(&gateway, 1, "report", "");
+    thread::sleep(LONGER);
+    engine.let_in();
+    let mut wire = engine.accept();
+    assert_eq!(wire.call().ticket(), id(1));
+    wire.row(&id(1));
+    is_served(&mut client, 1);
+    assert_eq!(gateway.log().matches("connection opened engine=").count(), 1, "none was given up");
+}
+
+#[test]
+fn a_version_in_force_stays_when_the_file_is_read_again() {
+    let (gateway, engines, machine, mut stream) = follow(|config| config);
+    let document = changed(|text| text.replace("\"name\":\"report\"", "\"name\":\"digest\""));
+    stream.send(&snapshot(1, &document));
+    machine.applied(1);
+    gateway.signal("-HUP");
+    gateway.logged("configuration read again");
+    let mut client = ask(&gateway, 1, "digest", "");
+    engines.next_start(&id(1)).row();
+    is_served(&mut client, 1);
+    assert!(turned_down(&gateway, &query(2, "report", "")).contains("unknown class"));
+    assert!(status(&gateway).contains("configuration.in_force=1\n"));
+    assert!(!gateway.log().contains("the settings have changed"), "what is in force is not the file's");
+}
+
 #[test]
 fn a_class_that_goes_is_unknown_to_new_requests_and_one_that_comes_is_known() {
     let (gateway, engines, machine, mut stream) = follow(|config| config);
--- a/gateway/tests/order.rs
+++ b/gateway/tests/order.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::manual::Engines;
-use common::script::Peer;
+use common::script::{Peer, Wire};
 use common::{Engine, Gateway, Seen, mysql, pg};
 
 /// An engine drops a query that it has not been asked for in this time.
@@ -105,22 +105,39 @@
     keeps_order(config).replace("\"aim-s\":4.0", "\"aim-s\":40.0")
 }
 
+/// A gateway whose first engine was cut off with the first request of a key out there, while a second one waits. There
+/// is another engine, and the first request's client has its answer.
+struct Cut {
+    e1: Peer,
+    e2: Peer,
+    watch: Wire,
+    gateway: Gateway,
+    second: pg::Client,
+}
+
+impl Cut {
+    fn new() -> Self {
+        let (mut e1, e2, coordinator) = (Peer::narrow("e1"), Peer::new("e2"), Peer::new("c"));
+        let address = Some(coordinator.address);
+        let gateway = Gateway::scripted(&e1.entry("Ready"), address, "", None, keeps_order_for_long);
+        let (mut watch, _) = coordinator.watch();
+        watch.stream();
+        let mut first = ask(&gateway, 1, "k1");
+        let second = ask(&gateway, 2, "k1");
+        let mut wire = e1.accept();
+        assert_eq!(wire.call().ticket(), id(1));
+        e1.cut_off();
+        watch.event(2, &e2.entry("Ready"));
+        assert!(matches!(first.answer(), pg::Answer::Error(code, _) if !code.starts_with("53")));
+        assert!(!wire.is_ended(), "it is reset, so that nothing of it arrives once the cut heals");
+        Self { e1, e2, watch, gateway, second }
+    }
+}
+
 /// Calls and closes to an engine that is cut off arrive late or never: it may run what it was sent to the end.
 #[test]
 fn the_next_of_a_key_waits_till_an_engine_behind_a_cut_is_reached() {
-    let (mut e1, e2, coordinator) = (Peer::narrow("e1"), Peer::new("e2"), Peer::new("c"));
-    let address = Some(coordinator.address);
-    let gateway = Gateway::scripted(&e1.entry("Ready"), address, "", None, keeps_order_for_long);
-    let (mut watch, _) = coordinator.watch();
-    watch.stream();
-    let mut first = ask(&gateway, 1, "k1");
-    let mut second = ask(&gateway, 2, "k1");
-    let mut cut = e1.accept();
-    assert_eq!(cut.call().ticket(), id(1));
-    e1.cut_off();
-    watch.event(2, &e2.entry("Ready"));
-    assert!(matches!(first.answer(), pg::Answer::Error(code, _) if !code.starts_with("53")));
-    assert!(!cut.is_ended(), "it is reset, so that nothing of it arrives once the cut heals");
+    let Cut { mut e1, e2, watch: _watch, gateway, mut second } = Cut::new();
     thread::sleep(ABANDONED + REST + Duration::from_secs(1));
     // What another key does meanwhile shows that the gateway has had its turns, and that this engine is open.
     let mut other = ask(&gateway, 3, "k2");
@@ -140,6 +157,28 @@
     is_served(&mut second, 2);
 }
 
+#[test]
+fn the_next_of_a_key_goes_on_when_the_list_says_that_an_engine_behind_a_cut_has_gone() {
+    let Cut { e1, e2, mut watch, gateway: _gateway, mut second } = Cut::new();
+    watch.event(3, &e1.entry("Gone"));
+    let mut wire = e2.accept();
+    assert_eq!(wire.call().ticket(), id(2));
+    wire.row(&id(2));
+    is_served(&mut second, 2);
+}
+
+#[test]
+fn the_next_of_a_key_goes_on_when_an_engine_behind_a_cut_says_nothing_once_it_is_reached() {
+    let Cut { mut e1, e2, watch: _watch, gateway: _gateway, mut second } = Cut::new();
+    e1.let_in();
+    let mut healed = e1.accept();
+    assert_eq!(healed.call().verb, "DELETE");
+    let mut wire = e2.accept();
+    assert_eq!(wire.call().ticket(), id(2));
+    wire.row(&id(2));
+    is_served(&mut second, 2);
+}
+
 #[test]
 fn a_key_whose_first_request_is_never_sent_goes_on_at_once() {
     let (engine, coordinator) = (Peer::new("e1"), Peer::new("c"));
