Rename the list of engines by name, and protocols to engines, as the field does

EngineRegistry for the earlier word for a list of names, EngineProtocol for the one for what is spoken, Job::Discarding for an answer that no longer matters, detach where a connection stops working for an attempt. The registry's tests move to a file of their own.

--- a/gateway/src/roster.rs
+++ b/gateway/src/engine_registry.rs
@@ -1,7 +1,7 @@
 //! The engines by name: who is in the list, who ever was, and who is out by hand.
 //!
 //! An engine out by hand is to all that decides one that drains. Nothing here knows a socket; events go through
-//! [`Roster::apply`] and come out as the rest of the gateway is to see them.
+//! [`EngineRegistry::apply`] and come out as the rest of the gateway is to see them.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -20,7 +20,7 @@
 
 /// The engines by name.
 #[derive(Debug)]
-pub struct Roster {
+pub struct EngineRegistry {
     listed: BTreeMap<String, Listed>,
     ever: BTreeSet<String>,
     order: VecDeque<String>,
@@ -30,7 +30,7 @@
     back_ms: BTreeMap<String, u64>,
 }
 
-impl Roster {
+impl EngineRegistry {
     /// Empty, with as many names as so much memory allows.
     pub fn new(memory: usize) -> Self {
         Self {
@@ -156,78 +156,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn listed(name: &str, state: EngineState, since_ms: u64) -> Listed {
-        let address = ([127, 0, 0, 1], 1).into();
-        Listed { name: name.into(), address, zone: "z".into(), kind: "k".into(), cell: 0, state, since_ms }
-    }
-
-    fn event(full: bool, entries: &[(&str, EngineState, u64)]) -> ListEvent {
-        let entries = entries.iter().map(|(n, s, ms)| listed(n, *s, *ms)).collect();
-        ListEvent { index: 1, full, entries, unread: Vec::new() }
-    }
-
-    fn seen(event: Option<ListEvent>) -> Vec<(EngineState, u64)> {
-        event.into_iter().flat_map(|e| e.entries).map(|l| (l.state, l.since_ms)).collect()
-    }
-
-    use EngineState::{Draining, Gone, Ready};
-
-    #[test]
-    fn who_is_out_drains_whatever_the_list_says_until_one_call_back() {
-        let mut roster = Roster::new(1 << 20);
-        roster.apply(&event(true, &[("a", Ready, 0), ("b", Ready, 5)]));
-        assert_eq!(roster.enter("c"), Err(NeverListed));
-        assert_eq!(seen(roster.enter("a").unwrap()), [(Draining, 0)]);
-        assert_eq!(roster.enter("a").unwrap(), None, "again");
-        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 7)])))), [(Draining, 7)]);
-        assert_eq!(
-            seen(Some(roster.apply(&event(true, &[("a", Ready, 7), ("b", Ready, 5)])))),
-            [(Draining, 7), (Ready, 5)]
-        );
-        // It leaves, and comes back under its name.
-        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Gone, 7)])))), [(Gone, 7)]);
-        assert_eq!(roster.known(), 1);
-        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 9)])))), [(Draining, 9)]);
-        assert_eq!(seen(roster.exit("a", 100).unwrap()), [(Ready, 100)], "cold from now on");
-        assert_eq!(roster.exit("a", 200).unwrap(), None, "again");
-        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 9)])))), [(Ready, 100)], "cold still");
-        assert_eq!(seen(Some(roster.apply(&event(false, &[("a", Ready, 300)])))), [(Ready, 300)]);
-    }
-
-    #[test]
-    fn an_engine_whose_entry_can_t_be_read_drains_until_one_can() {
-        let unread = |name: &str| crate::config::Unread { name: Some(name.into()), why: "no state".into() };
-        let mut roster = Roster::new(1 << 20);
-        roster.apply(&event(true, &[("a", Ready, 3), ("b", Ready, 5)]));
-        for full in [false, true] {
-            let spoilt =
-                ListEvent { unread: vec![unread("b"), unread("c")], ..event(full, &[("a", Ready, 3)]) };
-            assert_eq!(seen(Some(roster.apply(&spoilt))), [(Draining, 5), (Ready, 3)], "full: {full}");
-            assert_eq!(roster.known(), 2, "c was never listed");
-        }
-        assert_eq!(seen(Some(roster.apply(&event(false, &[("b", Ready, 5)])))), [(Ready, 5)]);
-        // Twice in one event, the one that can be read counts.
-        let twice = ListEvent { unread: vec![unread("b")], ..event(false, &[("b", Ready, 5)]) };
-        assert_eq!(seen(Some(roster.apply(&twice))).last(), Some(&(Ready, 5)));
-    }
-
-    #[test]
-    fn names_are_bounded_and_bans_are_not_forgotten() {
-        let mut roster = Roster::new(0);
-        let names: Vec<String> = (0..1100).map(|n| format!("banned-{n}")).collect();
-        for name in &names {
-            roster.remember(name);
-            assert!(roster.enter(name).is_ok());
-        }
-        for n in 0..10_000 {
-            roster.remember(&format!("later-{n}"));
-        }
-        assert!(names.iter().all(|n| roster.enter(n).is_ok()), "out of sight, still out");
-        assert_eq!(roster.out().count(), 1100);
-        assert!(roster.names().count() <= LEAST_NAMES);
-        assert!(roster.enter("later-1").is_err());
-    }
-}
+mod tests;
--- a/gateway/src/net/engines.rs
+++ b/gateway/src/net/engines.rs
@@ -34,7 +34,7 @@
 
 /// Which protocol a connection to an engine speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Tongue {
+enum EngineProtocol {
     Http,
     MySql,
 }
@@ -67,7 +67,7 @@
     /// The same call for an attempt whose end was not heard of.
     Confirm(AttemptId),
     /// An answer that no longer matters.
-    Stray {
+    Discarding {
         since_us: u64,
     },
 }
@@ -103,10 +103,10 @@
         self.rests_until_us > self.asked_us
     }
 
-    fn tongue(&self) -> Tongue {
+    fn protocol(&self) -> EngineProtocol {
         match self.wire {
-            Wire::Http => Tongue::Http,
-            Wire::MySql(_) => Tongue::MySql,
+            Wire::Http => EngineProtocol::Http,
+            Wire::MySql(_) => EngineProtocol::MySql,
         }
     }
 }
--- a/gateway/src/net/engines/answers.rs
+++ b/gateway/src/net/engines/answers.rs
@@ -69,7 +69,7 @@
         match link.job {
             // Nothing was asked here.
             Job::Idle { .. } => self.engine_gone(at, End::Broken),
-            Job::Stray { .. } => self.release_or_close(at, response.close),
+            Job::Discarding { .. } => self.release_or_close(at, response.close),
             // The call has come whole, or the engine knows the query no more: the attempt is over.
             Job::Delete(id) if matches!(response.status, 204 | 500) => {
                 self.release_or_close(at, response.close);
@@ -113,7 +113,7 @@
                         self.engine_gone(at, End::Broken);
                     }
                     http::Step::Quiet => {
-                        link.job = Job::Stray { since_us: now_us };
+                        link.job = Job::Discarding { since_us: now_us };
                         self.release_or_close(at, response.close);
                     }
                     http::Step::Ended(mut outcome) => {
@@ -144,7 +144,7 @@
         let (job, engine) = (link.job, link.engine);
         match (&event, job) {
             (mysql::Event::Up, Job::Attempt(_) | Job::Delete(_)) => self.post_if_up(at),
-            (mysql::Event::Up, Job::Idle { .. } | Job::Stray { .. }) => self.release(at),
+            (mysql::Event::Up, Job::Idle { .. } | Job::Discarding { .. }) => self.release(at),
             (mysql::Event::Prepared, Job::Attempt(id)) => {
                 if !self.may_begin(id, engine) {
                     // It was prepared there and nothing more: it never ran.
@@ -185,7 +185,7 @@
                     self.end_attempt(id, Outcome::Withdrawn, None);
                 }
             }
-            (mysql::Event::Done(_) | mysql::Event::Failed(_), Job::Stray { .. }) => self.release(at),
+            (mysql::Event::Done(_) | mysql::Event::Failed(_), Job::Discarding { .. }) => self.release(at),
             _ => {
                 conn.input.clear();
                 self.engine_gone(at, End::Broken);
--- a/gateway/src/net/engines/attempts.rs
+++ b/gateway/src/net/engines/attempts.rs
@@ -3,7 +3,7 @@
 use notchridge::interface::*;
 use wrenhatch_sessions::ledger::Kind;
 
-use super::{Attempt, AttemptId, Course, End, Job, Link, Tongue, Unconfirmed, Wire};
+use super::{Attempt, AttemptId, Course, End, EngineProtocol, Job, Link, Unconfirmed, Wire};
 use crate::core::{AttemptLimits, AttemptTerms, Input};
 use crate::engine::{http, mysql};
 use crate::front::Run;
@@ -30,7 +30,7 @@
         let Some(request) = self.requests.open.get(&id.0) else { return self.never_sent(id, Outcome::Void) };
         let max_ms = (until_us.saturating_sub(self.time.now_us) / 1000).max(1);
         let class = self.names.classes[request.class.0].as_str();
-        let (course, tongue) = match &request.run {
+        let (course, protocol) = match &request.run {
             Run::Simple => {
                 let mut start = Vec::with_capacity(256 + request.statement.len());
                 let call = http::Start {
@@ -44,13 +44,13 @@
                 };
                 http::post(&call, &mut start);
                 let exchange = http::Exchange::new(&request.ticket);
-                (Course::Http { exchange, start: Some(start) }, Tongue::Http)
+                (Course::Http { exchange, start: Some(start) }, EngineProtocol::Http)
             }
-            _ => (Course::MySql { work: Some(work(request, class, max_ms)) }, Tongue::MySql),
+            _ => (Course::MySql { work: Some(work(request, class, max_ms)) }, EngineProtocol::MySql),
         };
         let ticket = request.ticket.clone();
         let prepared = matches!(request.run, Run::Execute(_)).then(|| request.statement.clone());
-        match self.link(engine, Job::Attempt(id), tongue, prepared.as_deref()) {
+        match self.link(engine, Job::Attempt(id), protocol, prepared.as_deref()) {
             Ok(link) => {
                 let attempt = Attempt {
                     engine,
@@ -153,7 +153,7 @@
                 }
             }
             Job::Confirm(id) => self.write_confirmation(at, id),
-            Job::Idle { .. } | Job::Stray { .. } => {}
+            Job::Idle { .. } | Job::Discarding { .. } => {}
         }
     }
 
@@ -170,7 +170,7 @@
     /// The attempt is over; the core is told how.
     pub(in crate::net) fn end_attempt(&mut self, id: AttemptId, outcome: Outcome, report: Option<Report>) {
         let Some(attempt) = self.forget_attempt(id) else { return };
-        self.desert(attempt.link, id);
+        self.detach(attempt.link, id);
         tracing::debug!(
             ticket = attempt.ticket,
             number = id.1,
@@ -202,13 +202,13 @@
         let unsent = self.is_unsent(id, &over.wire);
         let Some(attempt) = self.pools.attempts.get_mut(&id) else { return };
         let again = attempt.retries > 0;
-        match (over.tongue(), end) {
+        match (over.protocol(), end) {
             _ if attempt.stopping && !unsent => return,
-            (Tongue::MySql, _) | (_, End::Refused | End::Late) if unsent => {
+            (EngineProtocol::MySql, _) | (_, End::Refused | End::Late) if unsent => {
                 return self.end_attempt(id, Outcome::Unreachable, None);
             }
             // That protocol has no way to ask for it again, and a statement may outlive its connection.
-            (Tongue::MySql, _) => return self.unheard(id),
+            (EngineProtocol::MySql, _) => return self.unheard(id),
             (_, End::Refused | End::Late) if again => return self.unheard(id),
             _ if attempt.retries >= MOST_RETRIES && unsent => {
                 return self.end_attempt(id, Outcome::Unreachable, None);
@@ -221,7 +221,7 @@
         }
         attempt.retries += 1;
         self.counters.asked_again += 1;
-        match self.connect(over.engine, Job::Attempt(id), Tongue::Http) {
+        match self.connect(over.engine, Job::Attempt(id), EngineProtocol::Http) {
             Ok(at) => {
                 if let Some(attempt) = self.pools.attempts.get_mut(&id) {
                     attempt.link = at;
@@ -244,7 +244,9 @@
         if end == End::Refused {
             return;
         }
-        if let (Wire::Http, Ok(at)) = (&over.wire, self.connect(over.engine, Job::Delete(id), Tongue::Http)) {
+        if let (Wire::Http, Ok(at)) =
+            (&over.wire, self.connect(over.engine, Job::Delete(id), EngineProtocol::Http))
+        {
             self.post_if_up(at);
         }
     }
@@ -252,7 +254,7 @@
     /// Nothing was heard of the end of an attempt that was given up.
     pub(in crate::net) fn unheard(&mut self, id: AttemptId) {
         let Some(attempt) = self.forget_attempt(id) else { return };
-        self.desert(attempt.link, id);
+        self.detach(attempt.link, id);
         tracing::debug!(ticket = attempt.ticket, number = id.1, engine = attempt.engine.0, "unheard");
         self.counters.ended(Outcome::TimedOut);
         let runs_until_us = attempt.runs_until_us(self.time.now_us);
@@ -266,15 +268,15 @@
     }
 
     /// A connection no longer works for this attempt.
-    pub(super) fn desert(&mut self, at: usize, id: AttemptId) {
+    pub(super) fn detach(&mut self, at: usize, id: AttemptId) {
         let now_us = self.time.now_us;
         let Some(Peer { link, .. }) = self.pools.peer(at) else { return };
         if link.job == Job::Attempt(id) {
-            link.job = Job::Stray { since_us: now_us };
-            let tongue = link.tongue();
+            link.job = Job::Discarding { since_us: now_us };
+            let protocol = link.protocol();
             self.pools.dirty.push(at);
             // A MySQL connection that was ended for its work is of no more use.
-            if tongue == Tongue::MySql {
+            if protocol == EngineProtocol::MySql {
                 self.pools.close(&self.poll, &mut self.timers, at);
             }
         }
@@ -285,12 +287,12 @@
         let going = self.pools.attempts.get(&id).filter(|a| !a.stopping);
         let Some((engine, link)) = going.map(|a| (a.engine, a.link)) else { return };
         self.counters.stopped += 1;
-        let (mut tongue, mut thread) = (Tongue::Http, 0);
+        let (mut protocol, mut thread) = (EngineProtocol::Http, 0);
         // Its connection may be closed, and its place another's.
         let own = |p: &&Peer| p.link.job == Job::Attempt(id);
         let peer = self.pools.peers.get(link).and_then(Option::as_ref).filter(own);
         if let Some(Peer { link: l, .. }) = peer {
-            tongue = l.tongue();
+            protocol = l.protocol();
             if let Wire::MySql(session) = &l.wire {
                 thread = session.thread;
             }
@@ -308,7 +310,7 @@
             exchange.give_up();
         }
         attempt.unheard = Some(self.timers.arm(self.time.now_us + UNHEARD_US, Timer::Unheard(id)));
-        match self.link(engine, Job::Delete(id), tongue, None) {
+        match self.link(engine, Job::Delete(id), protocol, None) {
             Ok(at) => self.post_if_up(at),
             Err(outcome) => {
                 tracing::debug!(number = id.1, ?outcome, "no connection to give an attempt up over");
@@ -324,11 +326,12 @@
         }
         let (engine, ticket) = (attempt.engine, attempt.ticket.clone());
         // Only over an idle connection: a new one for each would cost more than the change is worth.
-        let idle = self.pools.engines.get_mut(&engine).and_then(|e| e.idle[Tongue::Http as usize].pop());
+        let idle =
+            self.pools.engines.get_mut(&engine).and_then(|e| e.idle[EngineProtocol::Http as usize].pop());
         let Some(at) = idle else { return };
         let now_us = self.time.now_us;
         if let Some(Peer { conn, link, .. }) = self.pools.peer(at) {
-            link.job = Job::Stray { since_us: now_us };
+            link.job = Job::Discarding { since_us: now_us };
             http::put(&ticket, priority, &mut conn.output);
         }
         self.pools.dirty.push(at);
--- a/gateway/src/net/engines/confirmation.rs
+++ b/gateway/src/net/engines/confirmation.rs
@@ -2,7 +2,7 @@
 //! for in a while, but only where calls reach it: across a cut, one that was written may still be on its way, and the
 //! engine may run the query to its end. So the engine must be reached once more before that time counts.
 
-use super::{AttemptId, End, Job, Server, Tongue};
+use super::{AttemptId, End, EngineProtocol, Job, Server};
 use crate::core::Input;
 use crate::engine::http;
 use crate::net::Timer;
@@ -48,7 +48,7 @@
         if matches!(state, None | Some(EngineState::Gone)) {
             return self.confirm_dropped(id);
         }
-        match self.connect(engine, Job::Confirm(id), Tongue::Http) {
+        match self.connect(engine, Job::Confirm(id), EngineProtocol::Http) {
             Ok(at) => self.post_if_up(at),
             Err(Outcome::Unreachable) => self.confirm_dropped(id),
             Err(_) => self.retry_confirmation(id),
--- a/gateway/src/net/engines/connections.rs
+++ b/gateway/src/net/engines/connections.rs
@@ -4,7 +4,7 @@
 
 use super::attempts::UNHEARD_US;
 use super::confirmation::CONFIRMATION_CONNECT_US;
-use super::{End, Engine, Job, Link, Tongue, Wire};
+use super::{End, Engine, EngineProtocol, Job, Link, Wire};
 use crate::engine::{http, mysql};
 use crate::net::conn::{Phase, ReadEnd};
 use crate::net::poll::Interest;
@@ -16,7 +16,7 @@
 const ANSWER_US: u64 = 500_000;
 
 /// How long an answer that no longer matters is waited for, to keep its connection: asks hang for 250 ms.
-const STRAY_US: u64 = 1_000_000;
+const DISCARD_US: u64 = 1_000_000;
 
 /// How long a connection rests behind an answer before the next call is written: a second one may come some
 /// milliseconds late, and would be taken for that call's. It waits rather than that another is opened, as many of
@@ -30,14 +30,14 @@
         &mut self,
         engine: EngineId,
         job: Job,
-        tongue: Tongue,
+        protocol: EngineProtocol,
         prepared: Option<&[u8]>,
     ) -> Result<usize, Outcome> {
         let Some(e) = self.pools.engines.get_mut(&engine) else { return Err(Outcome::Void) };
         if matches!(job, Job::Attempt(_)) && e.state != EngineState::Ready {
             return Err(Outcome::Void);
         }
-        let idle = &mut e.idle[tongue as usize];
+        let idle = &mut e.idle[protocol as usize];
         let peers = &self.pools.peers;
         let has = |at: &usize| {
             let wire = peers[*at].as_ref().map(|p| &p.link);
@@ -66,9 +66,9 @@
             }
             Some(at) => {
                 self.pools.close(&self.poll, &mut self.timers, at);
-                self.link(engine, job, tongue, prepared)
+                self.link(engine, job, protocol, prepared)
             }
-            None => self.connect(engine, job, tongue),
+            None => self.connect(engine, job, protocol),
         }
     }
 
@@ -80,9 +80,14 @@
     }
 
     /// Opens a connection to an engine, within the budget.
-    pub(super) fn connect(&mut self, engine: EngineId, job: Job, tongue: Tongue) -> Result<usize, Outcome> {
+    pub(super) fn connect(
+        &mut self,
+        engine: EngineId,
+        job: Job,
+        protocol: EngineProtocol,
+    ) -> Result<usize, Outcome> {
         let Some(e) = self.pools.engines.get(&engine) else { return Err(Outcome::Void) };
-        let Some(address) = (if tongue == Tongue::Http { Some(e.address) } else { e.mysql }) else {
+        let Some(address) = (if protocol == EngineProtocol::Http { Some(e.address) } else { e.mysql }) else {
             return Err(Outcome::Void);
         };
         // What has gone may have left its address to another, which knows nothing of its queries.
@@ -93,12 +98,12 @@
         if self.pools.conns >= self.most_engine_conns() && !self.close_an_idle_link() {
             return Err(Outcome::Void);
         }
-        let wire = match (tongue, &self.config.mysql) {
-            (Tongue::MySql, Some(m)) => Wire::MySql(Box::new(mysql::Session::new(m.login.clone()))),
+        let wire = match (protocol, &self.config.mysql) {
+            (EngineProtocol::MySql, Some(m)) => Wire::MySql(Box::new(mysql::Session::new(m.login.clone()))),
             _ => Wire::Http,
         };
         let (at, key) = self.pools.place();
-        let ahead = if tongue == Tongue::Http { 2 * http::MAX_ANSWER } else { 512 * 1024 };
+        let ahead = if protocol == EngineProtocol::Http { 2 * http::MAX_ANSWER } else { 512 * 1024 };
         match self.dial(address, key, ahead) {
             Ok(conn) => {
                 let link = Link {
@@ -159,7 +164,7 @@
             (Job::Idle { since_us }, _) => Some(since_us + self.config.keepalive_us * 6 / 10),
             (Job::Attempt(_), Wire::Http) => Some(link.asked_us + ANSWER_US + 1),
             (Job::Attempt(_), Wire::MySql(_)) => None,
-            (Job::Stray { since_us }, _) => Some(since_us + STRAY_US + 1),
+            (Job::Discarding { since_us }, _) => Some(since_us + DISCARD_US + 1),
             (Job::Delete(_) | Job::Confirm(_), _) => Some(link.asked_us + UNHEARD_US),
         }
     }
@@ -195,7 +200,7 @@
         if let Some(peer) = self.pools.peer(at) {
             peer.timer = None;
             // A call that has no answer may not have arrived yet, and is not to arrive any more.
-            let unanswered = matches!(job, Job::Attempt(_) | Job::Stray { .. } | Job::Confirm(_));
+            let unanswered = matches!(job, Job::Attempt(_) | Job::Discarding { .. } | Job::Confirm(_));
             if late && !coming && !resting && unanswered {
                 peer.conn.discard_unsent_on_close();
             }
@@ -216,7 +221,7 @@
                 self.engine_gone(at, End::Broken);
             }
             // The machine may have vanished, and the connection would hold its descriptor for good.
-            Job::Stray { .. } => {
+            Job::Discarding { .. } => {
                 self.pools.close(&self.poll, &mut self.timers, at);
             }
             // It came up, and what was written reached the machine.
@@ -296,7 +301,7 @@
             && conn.input.is_empty()
             && conn.output.is_empty();
         match self.pools.engines.get_mut(&link.engine) {
-            Some(e) if clean && e.state != EngineState::Gone => e.idle[link.tongue() as usize].push(at),
+            Some(e) if clean && e.state != EngineState::Gone => e.idle[link.protocol() as usize].push(at),
             _ => {
                 self.pools.close(&self.poll, &mut self.timers, at);
             }
@@ -323,7 +328,7 @@
             Job::Attempt(id) => self.resume(id, &link, end),
             Job::Delete(id) => self.tell_again(id, &link, end),
             Job::Confirm(id) => self.confirmation_broke(id, end),
-            Job::Stray { .. } => {}
+            Job::Discarding { .. } => {}
         }
     }
 }
--- a/gateway/src/net/engines/list.rs
+++ b/gateway/src/net/engines/list.rs
@@ -23,7 +23,7 @@
                 first.why
             );
         }
-        let event = self.roster.apply(event);
+        let event = self.registry.apply(event);
         self.take_list(&event);
     }
 
--- a/gateway/src/net/handover.rs
+++ b/gateway/src/net/handover.rs
@@ -240,19 +240,19 @@
         let mut entries = Vec::new();
         for message in messages {
             match message {
-                Message::Known(name, back_ms) => self.roster.restore(&name, back_ms),
+                Message::Known(name, back_ms) => self.registry.restore(&name, back_ms),
                 Message::Listed(listed) => entries.push(listed),
                 Message::Enter(name) => {
-                    self.roster.remember(&name);
+                    self.registry.remember(&name);
                     // Its entry in the list comes behind, and is seen as it counts then.
-                    let _ = self.roster.enter(&name);
+                    let _ = self.registry.enter(&name);
                 }
                 _ => {}
             }
         }
         tracing::info!(
             engines = entries.len(),
-            out = self.roster.out().count(),
+            out = self.registry.out().count(),
             "taken over from the older process"
         );
         if !entries.is_empty() {
@@ -341,11 +341,11 @@
                 true
             }
             (Role::Elder | Role::Heir | Role::Taker, Message::Enter(name)) => {
-                self.roster.remember(&name);
+                self.registry.remember(&name);
                 self.change_by_hand(&name, None).is_ok()
             }
             (Role::Elder | Role::Heir | Role::Taker, Message::Exit(name, ms)) => {
-                self.roster.remember(&name);
+                self.registry.remember(&name);
                 self.change_by_hand(&name, Some(ms)).is_ok()
             }
             (Role::Taker, Message::Cancel { session, secret }) => {
@@ -375,9 +375,9 @@
     /// Tells a newer process all that it must know, with the listeners beside the first byte.
     fn bequeath(&mut self, at: usize) -> bool {
         let mut out = Vec::new();
-        self.roster.names().for_each(|(name, ms)| Message::Known(name.to_owned(), ms).write(&mut out));
-        self.roster.listed().for_each(|l| Message::Listed(l.clone()).write(&mut out));
-        self.roster.out().for_each(|name| Message::Enter(name.to_owned()).write(&mut out));
+        self.registry.names().for_each(|(name, ms)| Message::Known(name.to_owned(), ms).write(&mut out));
+        self.registry.listed().for_each(|l| Message::Listed(l.clone()).write(&mut out));
+        self.registry.out().for_each(|name| Message::Enter(name.to_owned()).write(&mut out));
         Message::End { cancels: true, leases: true }.write(&mut out);
         let peer = &mut self.family.peers[at];
         let fds: Vec<_> = self.listeners.all().map(AsFd::as_fd).collect();
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -36,10 +36,10 @@
 use crate::config::{Config, Names};
 use crate::core::{Command, Core, Input};
 use crate::counters::Counters;
+use crate::engine_registry::EngineRegistry;
 use crate::handover::Message;
 use crate::lateness::Lateness;
 use crate::metrics::Metrics;
-use crate::roster::Roster;
 use conn::Conn;
 use listeners::{Front, Listeners};
 use poll::{Interest, Poll, Told};
@@ -139,7 +139,7 @@
     control: Option<configuration::Follower>,
     ops: ops::Ops,
     family: handover::Family,
-    roster: Roster,
+    registry: EngineRegistry,
     metrics: Metrics,
     shutdown: shutdown::Shutdown,
     signals: Signals,
@@ -180,7 +180,7 @@
             control: config.control.clone().map(|control| configuration::Follower::new(control, &config)),
             ops,
             family: handover::Family::default(),
-            roster: Roster::new(config.memory),
+            registry: EngineRegistry::new(config.memory),
             metrics,
             shutdown: shutdown::Shutdown::new(&config.settings),
             signals,
--- a/gateway/src/net/ops.rs
+++ b/gateway/src/net/ops.rs
@@ -9,10 +9,10 @@
 use super::conn::{Conn, Phase, ReadEnd};
 use super::poll::{Interest, Poll, Told};
 use super::{OPS, OPS_LISTENER, ServeError, Server, Timer};
+use crate::engine_registry::NeverListed;
 use crate::handover::Message;
 use crate::metrics::Now;
 use crate::ops::{self, Call, No};
-use crate::roster::NeverListed;
 
 /// Callers at once. Where there are more, the one that has owed a whole call for longest makes room.
 pub const MOST_CALLERS: usize = 16;
@@ -140,7 +140,7 @@
             Call::Metrics => {
                 let now = Now {
                     in_flight: self.requests.open.len(),
-                    engines_known: self.roster.known(),
+                    engines_known: self.registry.known(),
                     engines_excluded: self.core.engines_avoided(self.time.now_us),
                 };
                 Ok(self.metrics.text(now))
@@ -163,8 +163,8 @@
     /// The same without a word to other processes: one is back since a Unix millisecond, or else out.
     pub(super) fn change_by_hand(&mut self, name: &str, back_ms: Option<u64>) -> Result<(), NeverListed> {
         let changed = match back_ms {
-            None => self.roster.enter(name)?,
-            Some(ms) => self.roster.exit(name, ms)?,
+            None => self.registry.enter(name)?,
+            Some(ms) => self.registry.exit(name, ms)?,
         };
         tracing::info!(engine = name, out = back_ms.is_none(), changed = changed.is_some(), "by hand");
         if let Some(event) = changed {
--- a/lab/src/hollow/model/gateway.rs
+++ b/lab/src/hollow/model/gateway.rs
@@ -1,4 +1,4 @@
-//! A hollow gateway in simulated time: the gateway's list reader, roster and core, without sockets and clients.
+//! A hollow gateway in simulated time: the gateway's list reader, registry and core, without sockets and clients.
 
 use std::collections::HashMap;
 
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg32;
 use wrenhatch::config::{Config, ListEvent, Listed, Names};
 use wrenhatch::core::{Core, Input};
-use wrenhatch::roster::Roster;
+use wrenhatch::engine_registry::EngineRegistry;
 
 use super::watch::{Watch, WatchRequest};
 use crate::hollow::error::HollowError;
@@ -18,7 +18,7 @@
     pub watch: Watch,
     /// List events taken in, as the gateway's `list_events` counts them.
     pub list_events: u64,
-    roster: Roster,
+    registry: EngineRegistry,
     core: Core,
     names: Names,
     ids: HashMap<String, EngineId>,
@@ -36,7 +36,7 @@
         Ok(Self {
             watch: Watch::new(config.memory, chance, random),
             list_events: 0,
-            roster: Roster::new(config.memory),
+            registry: EngineRegistry::new(config.memory),
             core: Core::new(config.settings, config.seed)?,
             names: config.names,
             ids: HashMap::new(),
@@ -72,7 +72,7 @@
 
     fn input(&mut self, event: &ListEvent) -> Input {
         self.list_events += 1;
-        let event = self.roster.apply(event);
+        let event = self.registry.apply(event);
         let entries = event.entries.iter().map(|listed| self.entry(listed)).collect();
         for gone in event.entries.iter().filter(|listed| listed.state == EngineState::Gone) {
             self.ids.remove(&gone.name);
--- a/lab/src/hollow/model/mod.rs
+++ b/lab/src/hollow/model/mod.rs
@@ -1,4 +1,4 @@
-//! A fleet in simulated time: hollow gateways with the gateway's own list reader, roster and core, hollow control
+//! A fleet in simulated time: hollow gateways with the gateway's own list reader, registry and core, hollow control
 //! machines, and a network between them. Databases exist as entries of the list only, as nothing is asked of them
 //! without client traffic.
 //!
