Measure what it takes a gateway to take a version of the settings over

Open of the capacity page: time and processor time of configuration in service, through a real process and sockets, had not been measured. A stand-in for a control machine tells versions, each a difference of one class, and waits for the report of each.

The test holds counts and bytes to small plays, no times.

--- a/lab/src/capacity/experiments.rs
+++ b/lab/src/capacity/experiments.rs
@@ -3,7 +3,10 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use wrenhatch_configuration::{Delta, Document, Message, Snapshot, Version};
+
 use super::bounds::Guard;
+use super::control_machine::ControlMachine;
 use super::decisions::Decisions;
 use super::error::CapacityError;
 use super::fit::Point;
@@ -95,8 +98,8 @@
         match self {
             E::DecideStatementOpen | E::StatementOpen => Variable::OpenRequests,
             E::StatementSessions | E::IdleSessions => Variable::Sessions,
-            E::ReloadClasses | E::StartClasses => Variable::Classes,
-            E::ReloadTenants | E::StartTenants => Variable::Tenants,
+            E::ReloadClasses | E::VersionClasses | E::StartClasses => Variable::Classes,
+            E::ReloadTenants | E::VersionTenants | E::StartTenants => Variable::Tenants,
             E::DecideStatementEngines
             | E::DecideLookEngines
             | E::DecideChangeEngines
@@ -106,6 +109,7 @@
             | E::ChangeEngines
             | E::ListEngines
             | E::ReloadEngines
+            | E::VersionEngines
             | E::StartEngines
             | E::IdleEngines => Variable::Engines,
         }
@@ -135,9 +139,9 @@
                 "closed loop of 64 sessions beside 3,455 idle ones; engines of 5 zones that answer at once"
             }
             E::ChangeEngines | E::ListEngines | E::IdleEngines => "no clients",
-            E::ReloadEngines | E::StartEngines => "3 classes, 1 tenant, no clients",
-            E::ReloadClasses | E::StartClasses => "80 engines, 1 tenant, no clients",
-            E::ReloadTenants | E::StartTenants => "80 engines, 3 classes, no clients",
+            E::ReloadEngines | E::VersionEngines | E::StartEngines => "3 classes, 1 tenant, no clients",
+            E::ReloadClasses | E::VersionClasses | E::StartClasses => "80 engines, 1 tenant, no clients",
+            E::ReloadTenants | E::VersionTenants | E::StartTenants => "80 engines, 3 classes, no clients",
             E::IdleSessions => "80 engines, sessions that ask nothing",
         }
     }
@@ -218,6 +222,9 @@
             E::ReloadEngines => self.reloads(Site::new(Engines::start(size)?.addresses.clone())),
             E::ReloadClasses => self.reloads(Site { classes: size, ..fixed_site()? }),
             E::ReloadTenants => self.reloads(Site { tenants: size, ..fixed_site()? }),
+            E::VersionEngines => self.versions(Site::new(Engines::start(size)?.addresses.clone())),
+            E::VersionClasses => self.versions(Site { classes: size, ..fixed_site()? }),
+            E::VersionTenants => self.versions(Site { tenants: size, ..fixed_site()? }),
             E::StartEngines => self.start(&Site::new(Engines::start(size)?.addresses.clone())),
             E::StartClasses => self.start(&Site { classes: size, ..fixed_site()? }),
             E::StartTenants => self.start(&Site { tenants: size, ..fixed_site()? }),
@@ -390,6 +397,40 @@
         Ok(play.unless(late).unless(missing))
     }
 
+    /// Versions of the settings, each a difference to the one before.
+    fn versions(&self, site: Site) -> Result<Play, CapacityError> {
+        let machine = ControlMachine::start()?;
+        let site = Site { control: Some(machine.address), ..site };
+        let gateway = Gateway::start(&self.program, &site, "info")?;
+        let mut stream = machine.stream()?;
+        let mut in_force = (Version(1), document(&site, 1)?);
+        stream.tell(&Message::Snapshot(Snapshot::of(in_force.0, &in_force.1)))?;
+        machine.applied(1)?;
+        self.guard.sleep(SETTLE, Some(gateway.process()))?;
+        let (cpu_us, logged, count) = (gateway.cpu_us()?, gateway.log_bytes(), self.effort.lists);
+        let (mut bytes, mut times) = (0, Vec::new());
+        let late = self.schedule(count, SLOW_PACE, &gateway, |n| {
+            let next = (Version(n + 2), document(&site, n + 2)?);
+            let from = (in_force.0, &in_force.1);
+            let message = Message::Delta(Delta::between(from, (next.0, &next.1)));
+            let began = Instant::now();
+            bytes += stream.tell(&message)?;
+            machine.applied(next.0.0)?;
+            times.push(began.elapsed().as_secs_f64() * 1e3);
+            in_force = next;
+            Ok(())
+        })?;
+        let (cpu_us, logged) = (gateway.cpu_us()? - cpu_us, gateway.log_bytes() - logged);
+        let each = count as f64;
+        let play = Play::of(vec![
+            (Quantity::Cpu, cpu_us / each),
+            (Quantity::StreamBytes, bytes as f64 / each),
+            (Quantity::LogBytes, logged as f64 / each),
+            (Quantity::Taken, Point { size: each, plays: times }.median()),
+        ]);
+        Ok(play.unless(late))
+    }
+
     fn start(&self, site: &Site) -> Result<Play, CapacityError> {
         let gateway = Gateway::start(&self.program, site, "info")?;
         self.guard.sleep(SETTLE, Some(gateway.process()))?;
@@ -431,6 +472,12 @@
     }
 }
 
+/// The settings of a version.
+fn document(site: &Site, version: u64) -> Result<Document, CapacityError> {
+    let text = site.changed_settings(version).to_string();
+    text.parse().map_err(|e| CapacityError::Peer(format!("settings that are no document: {e}")))
+}
+
 /// A gateway that follows a coordinator.
 struct Watched {
     gateway: Gateway,
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -1,6 +1,7 @@
 //! What the gateway costs as a function of size, and the page that holds it against the size that has to be carried.
 
 pub mod bounds;
+pub mod control_machine;
 pub mod decisions;
 pub mod error;
 pub mod experiments;
--- a/lab/src/capacity/process.rs
+++ b/lab/src/capacity/process.rs
@@ -52,6 +52,11 @@
         std::fs::write(&config, &text).map_err(CapacityError::file(&config))?;
         let mut command = Command::new(program);
         command.args(["serve", "--log", level]).env("LB_CONFIG", &config).env("TMPDIR", &folder);
+        if let Some(text) = site.operator() {
+            let operator = folder.join("operator.toml");
+            std::fs::write(&operator, text).map_err(CapacityError::file(&operator))?;
+            command.arg("--config").arg(operator);
+        }
         command.env("LB_NAME", "capacity").env("LB_LISTEN", "127.0.0.1:0").env("LB_OPS", "127.0.0.1:0");
         command.stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(CapacityError::file(program))?;
--- a/lab/src/capacity/reckon/gateway.rs
+++ b/lab/src/capacity/reckon/gateway.rs
@@ -150,6 +150,7 @@
 fn configuration(ledger: &mut Ledger<'_>) {
     let t = ledger.target;
     let (per_day, clients) = (t.configuration_per_day, t.connections_per_gateway());
+    versions(ledger);
     files(ledger);
     let (start, session) =
         (ledger.at(E::StartEngines, Q::Cpu, t.databases), ledger.at(E::IdleSessions, Q::Cpu, clients));
@@ -174,11 +175,38 @@
     ledger.add(Role::Control, versions.by(by), Source::target(t.gateways));
 }
 
+/// Versions of the settings taken over in service: what they take, and how long one takes.
+fn versions(ledger: &mut Ledger<'_>) {
+    let t = ledger.target;
+    let (per_day, per_s) = (t.configuration_per_day, t.configuration_per_day / DAY_S);
+    let by =
+        "configuration/src/subscriber.rs, gateway/src/net/configuration.rs, gateway/src/net/reconfigure.rs";
+    let names = [E::VersionClasses, E::VersionTenants];
+    if let Some(cpu) = with_names(ledger, E::VersionEngines, names, Q::Cpu) {
+        let what = format!("versions of the settings taken over in service, {} a day", number(per_day));
+        let share = entry(Resource::Processor, Case::Ordinary, what, "% of a core");
+        let share = share.limit(t.control_core_percent).by(by);
+        ledger.add(Role::Gateway, share, cpu.times(100.0 * per_s / SECOND_US));
+    }
+    if let Some(difference) = with_names(ledger, E::VersionEngines, names, Q::StreamBytes) {
+        let what = "their differences, each of one class";
+        let bytes = entry(Resource::Messages, Case::Ordinary, what, "bytes/s").limit(t.control_bytes_per_s);
+        ledger.add(Role::Gateway, bytes.by(by), difference.times(per_s));
+    }
+    if let Some(taken) = with_names(ledger, E::VersionEngines, names, Q::Taken) {
+        let what = "time to take a version over, with its report";
+        let time =
+            entry(Resource::Messages, Case::Ordinary, what, "ms").limit(t.configuration_within_s * 1e3);
+        ledger.add(Role::Gateway, time.by(by), taken);
+    }
+}
+
 /// The file of configuration read again for each change: what that takes, and what its bytes would.
 fn files(ledger: &mut Ledger<'_>) {
     let t = ledger.target;
     let per_s = t.configuration_per_day / DAY_S;
-    if let Some(read) = with_names(ledger, E::ReloadEngines, Q::Cpu) {
+    let names = [E::ReloadClasses, E::ReloadTenants];
+    if let Some(read) = with_names(ledger, E::ReloadEngines, names, Q::Cpu) {
         let what = format!(
             "the file read again {} times a day, by signal; classes, shares and limits don't count",
             number(t.configuration_per_day)
@@ -190,18 +218,23 @@
             read.times(100.0 * per_s / SECOND_US),
         );
     }
-    if let Some(file) = with_names(ledger, E::ReloadEngines, Q::FileBytes) {
+    if let Some(file) = with_names(ledger, E::ReloadEngines, names, Q::FileBytes) {
         let what = "the whole file, were it sent for each change";
         let bytes = entry(Resource::Messages, Case::Ordinary, what, "bytes/s").limit(t.control_bytes_per_s);
         ledger.add(Role::Gateway, bytes.by("gateway/src/net/reload.rs"), file.times(per_s));
     }
 }
 
-/// A quantity of the file of configuration at all engines, with what classes and tenants add.
-fn with_names(ledger: &mut Ledger<'_>, experiment: E, quantity: Q) -> Option<Source> {
+/// A quantity of the configuration at all engines, with what classes and tenants add by experiments of their own.
+fn with_names(
+    ledger: &mut Ledger<'_>,
+    experiment: E,
+    [by_classes, by_tenants]: [E; 2],
+    quantity: Q,
+) -> Option<Source> {
     let t = ledger.target;
     let mut all = ledger.at(experiment, quantity, t.databases)?;
-    for (experiment, count) in [(E::ReloadClasses, t.classes), (E::ReloadTenants, t.tenants)] {
+    for (experiment, count) in [(by_classes, t.classes), (by_tenants, t.tenants)] {
         let Some(each) = ledger.slope(experiment, quantity) else { continue };
         all = all.plus(&each.times(count));
     }
--- a/lab/src/capacity/site.rs
+++ b/lab/src/capacity/site.rs
@@ -11,6 +11,8 @@
     pub engines: Vec<SocketAddr>,
     /// Where the coordinator listens, if there is one.
     pub coordinator: Option<SocketAddr>,
+    /// Where a control machine listens, if one is followed.
+    pub control: Option<SocketAddr>,
     /// Classes of request, three at least.
     pub classes: usize,
     /// Tenants, one at least.
@@ -29,7 +31,7 @@
 impl Site {
     /// One in front of these engines, with the fewest of all else.
     pub fn new(engines: Vec<SocketAddr>) -> Self {
-        Self { engines, coordinator: None, classes: 3, tenants: 1, clients: 1_100 }
+        Self { engines, coordinator: None, control: None, classes: 3, tenants: 1, clients: 1_100 }
     }
 
     /// An engine's entry in the list.
@@ -65,6 +67,19 @@
         whole.to_string()
     }
 
+    /// The operator's file, where there is anything to say in it.
+    pub fn operator(&self) -> Option<String> {
+        self.control.map(|machine| format!("[control]\nmachines = [\"{machine}\"]\n"))
+    }
+
+    /// The settings with the deadline of one class changed, another one for each of a few numbers in a row.
+    pub fn changed_settings(&self, number: u64) -> Value {
+        const DEADLINES: u64 = 5;
+        let mut settings = self.settings();
+        settings["classes"][1]["deadline-s"] = json!(20 + number % DEADLINES);
+        settings
+    }
+
     fn settings(&self) -> Value {
         let tenant = |n: usize| json!({"name": format!("t{n}"), "quota-per-s": QUOTA_PER_S, "share": 1.0});
         json!({
--- a/lab/src/capacity/slopes.rs
+++ b/lab/src/capacity/slopes.rs
@@ -69,6 +69,12 @@
     ReloadClasses,
     /// The configuration read again on SIGHUP, by tenants in it.
     ReloadTenants,
+    /// A version of the settings told by a control machine and taken over in service, by engines.
+    VersionEngines,
+    /// The same by classes.
+    VersionClasses,
+    /// The same by tenants.
+    VersionTenants,
     /// A start of the process, by engines.
     StartEngines,
     /// A start of the process, by classes.
@@ -101,7 +107,7 @@
     Connections,
     /// Descriptors held.
     Descriptors,
-    /// Bytes of the coordinator's stream for each event.
+    /// Bytes of the coordinator's or a control machine's stream for each event.
     StreamBytes,
     /// Bytes of the configuration's file.
     FileBytes,
@@ -113,7 +119,8 @@
     MetricsBytes,
     /// The 99th percentile of what clients waited.
     LatencyP99,
-    /// From an event's writing until the gateway's figures show it, in the middle; with the call that fetches them.
+    /// From an event's writing until the gateway's figures show it, in the middle, with the call that fetches them; of a
+    /// version, until its report has come.
     Taken,
 }
 
--- a/lab/tests/capacity_process.rs
+++ b/lab/tests/capacity_process.rs
@@ -87,6 +87,17 @@
     assert!(figure(&many, Quantity::FileBytes) > figure(&few, Quantity::FileBytes));
 }
 
+#[test]
+fn versions_are_taken_over_one_by_one_and_cost_as_many_bytes_with_more_tenants() {
+    let bench = bench(Limits::default());
+    let bytes = [1, 100].map(|tenants| {
+        let play = bench.play(Experiment::VersionTenants, tenants).unwrap();
+        assert!(figure(&play, Quantity::Cpu) > 0.0 && figure(&play, Quantity::Taken) > 0.0);
+        figure(&play, Quantity::StreamBytes)
+    });
+    assert_eq!(bytes[0], bytes[1], "only the difference is told");
+}
+
 #[test]
 fn a_size_that_can_t_be_played_is_turned_down() {
     for size in [0, MOST + 1] {
