Wait for the log's line where a test counts what stands before it

an_engine_that_drains_while_its_connection_comes_up_gets_nothing failed once in a fresh clone: the client had its answer before the log's last line, which comes over a pipe that a thread of the test reads, and one of two sends was not counted yet. The log shows that the gateway did what it should. Tests that hold a line to be there now wait for it, and those that count lines wait for one behind them; what is held to is the same, and none passes any sooner.

--- a/gateway/tests/configuration.rs
+++ b/gateway/tests/configuration.rs
@@ -77,7 +77,7 @@
     is_served(&mut second, 2);
     assert_eq!(gateway.told("served.load"), 3, "counted by name, whatever the number");
     assert!(status(&gateway).contains("\nconfiguration.in_force=1\nconfiguration.newest_seen=1\n"));
-    assert!(gateway.log().contains("configuration in force version=1"));
+    gateway.logged("configuration in force version=1");
 }
 
 #[test]
@@ -196,6 +196,7 @@
     assert_eq!(wire.call().ticket(), id(1));
     wire.row(&id(1));
     is_served(&mut client, 1);
+    gateway.logged(&format!("answered ticket=\"{}\"", id(1)));
     assert_eq!(gateway.log().matches("connection opened engine=").count(), 1, "none was given up");
 }
 
@@ -212,6 +213,7 @@
     is_served(&mut client, 1);
     assert!(turned_down(&gateway, &query(2, "report", "")).contains("unknown class"));
     assert!(status(&gateway).contains("configuration.in_force=1\n"));
+    gateway.logged(&format!("answered ticket=\"{}\"", id(1)));
     assert!(!gateway.log().contains("the settings have changed"), "what is in force is not the file's");
 }
 
@@ -260,7 +262,7 @@
         assert!(text.contains(&format!("in_force=1\nconfiguration.newest_seen={version}\n")), "{text}");
         assert!(text.contains(&format!("configuration.refused={version} ")) && text.contains(part), "{text}");
     }
-    assert!(gateway.log().contains("configuration refused version=2 in_force=1"));
+    gateway.logged("configuration refused version=2 in_force=1");
     let mut client = ask(&gateway, 20, "report", "");
     engines.next_start(&id(20)).row();
     is_served(&mut client, 20);
@@ -381,7 +383,7 @@
     let mut silent = machines[first].stream();
     silent.current(0);
     let mut stream = machines[second].stream();
-    assert!(gateway.log().contains("the control machine is silent"));
+    gateway.logged("the control machine is silent");
     stream.send(&snapshot(1, &start_settings().parse().unwrap()));
     machines[second].applied(1);
 }
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -374,6 +374,8 @@
     // Its connection is of no use; whatever comes over it is no call.
     let n = served(&gateway, "load", 100);
     assert_eq!(*elsewhere.lock().unwrap(), [id(1), id(n)]);
+    // The log is read as it comes; up to this line it is whole.
+    gateway.logged(&format!("answered ticket=\"{}\"", id(n)));
     assert!(gateway.log().matches("sent ticket=").count() == 2, "{}", gateway.log());
 }
 
