--- /dev/null
+++ b/review/common/gateway.rs
@@ -0,0 +1,133 @@
+//! A gateway process, started with the command `run` of the deploy file.
+
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::http;
+use super::record::{Record, stop};
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+pub const SIGHUP: i32 = 1;
+pub const SIGTERM: i32 = 15;
+
+/// What the platform tells a gateway, and the folder that it lies in.
+pub struct Deployment {
+    pub folder: PathBuf,
+    pub listen: SocketAddr,
+    operator_file: bool,
+}
+
+/// A running process of a gateway. It is killed when it is dropped.
+pub struct Gateway {
+    child: Child,
+    pub ops: SocketAddr,
+    record: Record,
+    name: String,
+}
+
+/// Value of a key of the deploy file.
+fn deploy_value(key: &str) -> String {
+    let text = fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|e| stop(&format!("deploy file: {e}")));
+    let line = text.lines().find_map(|line| line.strip_prefix(key)?.trim_start().strip_prefix('='));
+    line.map_or_else(|| stop("the deploy file has no such key"), |value| value.trim().trim_matches('"').to_owned())
+}
+
+impl Deployment {
+    /// Writes the configuration into the temporary folder of the case. It is the small one of the project's tests with
+    /// these known events, coordinator and contents of the operator's file.
+    pub fn new(known: &[String], coordinator: Option<SocketAddr>, operator_file: Option<&str>) -> Self {
+        let folder = PathBuf::from(std::env::var("TMPDIR").unwrap_or_else(|_| stop("TMPDIR is not set")));
+        let deployment =
+            Self { folder, listen: super::free_address(), operator_file: operator_file.is_some() };
+        if let Some(text) = operator_file {
+            write(&deployment.folder.join("operator.toml"), text);
+        }
+        deployment.configure(known, coordinator);
+        deployment
+    }
+
+    /// Writes the configuration anew.
+    pub fn configure(&self, known: &[String], coordinator: Option<SocketAddr>) {
+        let template = fs::read_to_string("gateway/tests/common/config.json");
+        let template = template.unwrap_or_else(|e| stop(&format!("the project's small configuration: {e}")));
+        let (head, settings) = template.split_once("\"known\":").expect("the key known");
+        let (_, settings) = settings.split_once("\"settings\":").expect("the key settings");
+        let head = head.replace("127.0.0.1:0", &self.listen.to_string());
+        let coordinator = coordinator.map(|address| format!("\"coordinator\":\"{address}\",")).unwrap_or_default();
+        let text = format!(
+            "{head}{coordinator}\"known\":{{\"index\":{},\"updates\":[{}]}},\"settings\":{settings}",
+            known.len(),
+            known.join(",")
+        );
+        // A reader never sees half of the file.
+        let (file, new) = (self.folder.join("config.json"), self.folder.join("config.json.new"));
+        write(&new, &text);
+        fs::rename(&new, &file).unwrap_or_else(|e| stop(&format!("config.json: {e}")));
+    }
+
+    /// Starts a process and waits until it takes clients.
+    pub fn start(&self, name: &str, record: &Record) -> Gateway {
+        let ops = super::free_address();
+        let mut run = deploy_value("run");
+        if self.operator_file {
+            run += &format!(" --config {}", self.folder.join("operator.toml").display());
+        }
+        run += " --log debug";
+        let log = File::create(self.folder.join(format!("{name}.log"))).unwrap_or_else(|e| stop(&e.to_string()));
+        let child = Command::new("/bin/sh")
+            .args(["-c", &run])
+            .env("LB_NAME", "n0")
+            .env("LB_LISTEN", self.listen.to_string())
+            .env("LB_CONFIG", self.folder.join("config.json"))
+            .env("LB_OPS", ops.to_string())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|e| stop(&format!("{run}: {e}")));
+        write(&self.folder.join(format!("{name}.pid")), &child.id().to_string());
+        let mut gateway = Gateway { child, ops, record: record.clone(), name: name.to_owned() };
+        record.note(name, &format!("started as process {}", gateway.child.id()));
+        let began = Instant::now();
+        while http::ops(ops, "GET", "/status") != Some(true) {
+            if began.elapsed() > Duration::from_secs(6) || gateway.has_ended() {
+                stop("the gateway does not start");
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        record.note(name, "says yes: it takes clients");
+        gateway
+    }
+}
+
+fn write(path: &Path, text: &str) {
+    fs::write(path, text).unwrap_or_else(|e| stop(&format!("{}: {e}", path.display())));
+}
+
+impl Gateway {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        self.record.note(&self.name, &format!("gets signal {signal}"));
+        // SAFETY: the call has no memory effects; the process is this one's child and has not been waited for.
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
