--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,76 +1,108 @@
-//! A new configuration moves discovery to a coordinator that is slow: it begins to answer a request 3.5 s after it was
-//! asked. Then an engine drains.
+//! A client of the MySQL front reuses the handle of a prepared lookup after it has reconnected. The disruption is a
+//! replacement of the gateway's process between the two connections.
 
 #[path = "../common/mod.rs"]
 mod common;
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use common::coordinator::{self, Coordinator};
 use common::engine::Engine;
-use common::gateway::{Deployment, SIGHUP};
+use common::gateway::{Deployment, SIGTERM};
+use common::mysql::{self, Answer, Client};
 use common::record::{Record, stop};
-use common::traffic::{Traffic, sends_after};
-use common::trouble;
+use common::{coordinator, free_address, trouble};
 
-/// `drain-grace-s` of the settings, and the 50 ms by which each limit is longer on sockets.
-const GRACE: f64 = 0.5 + 0.05;
-/// What the coordinator has to tell counts as told this much later at the latest.
-const TOLD_AT_LAST: f64 = 7.0;
-/// After SIGHUP, it counts as told this much later.
-const TOLD_AFTER_SIGHUP: f64 = 4.0;
-/// Time that the slow coordinator takes to begin its answer. Shorter than either of these limits.
-const SLOW: Duration = Duration::from_millis(3500);
+const LOOKUP: &str = "SELECT setpoint FROM bays_7.settings WHERE w = '20'";
+const LOAD: &str = "INSERT INTO bays_7.readings SELECT * FROM staging.batch WHERE w = '30'";
+/// ER_UNKNOWN_STMT_HANDLER
+const UNKNOWN_HANDLE: u16 = 1243;
 
 fn main() {
     let record = Record::create();
-    let [staying, draining] = ["e1", "e2"].map(|name| Engine::start(name, &record));
-    let known = vec![coordinator::event(1, true, &[staying.entry("Ready", 0), draining.entry("Ready", 0)])];
-    let first = Coordinator::start("coordinator-1", &record, known.clone());
-    let second = Coordinator::start("coordinator-2", &record, known.clone());
-    let deployment = Deployment::new(&known, Some(first.address), None);
-    let gateway = deployment.start("gateway", &record);
-    let traffic = Traffic::start(deployment.listen, &record);
-    thread::sleep(Duration::from_secs(3));
-    if draining.sent().is_empty() {
-        stop("an engine is not used");
+    let runs = Arc::new(Mutex::new(Vec::new()));
+    let engines = ["e1", "e2"].map(|name| {
+        (Engine::start(name, &record), mysql::Engine::start(name, &record, &runs))
+    });
+    let entries: Vec<String> = engines.iter().map(|(http, _)| http.entry("Ready", 0)).collect();
+    let front = free_address();
+    let mut operator_file = format!(
+        "[mysql]\nlisten = \"{front}\"\nlogin = {{ user = \"gateway\" }}\n\
+         [mysql.users]\nunit = {{ tenant = \"acme\" }}\n[mysql.engines]\n"
+    );
+    for (http, mysql) in &engines {
+        operator_file += &format!("{} = \"{}\"\n", http.name, mysql.address);
     }
+    let deployment =
+        Deployment::new(&[coordinator::event(1, true, &entries)], None, Some(&operator_file));
+    let mut processes = vec![deployment.start("process-1", &record)];
 
-    if trouble() {
-        second.answer_after(SLOW);
+    let mut unit = connect(front);
+    let lookup = prepare(&mut unit, &format!("/* c=lookup */ {LOOKUP}"));
+    record.note("client", &format!("prepared the lookup: handle {lookup}"));
+    let answer = execute_until_served(&mut unit, lookup, &record);
+    if !matches!(&answer, Answer::Rows(cells) if cells.iter().any(|cell| cell == LOOKUP)) {
+        stop(&format!("the lookup is not served: {answer:?}"));
     }
-    deployment.configure(&known, Some(second.address));
-    let sighup = record.now();
-    gateway.signal(SIGHUP);
-    first.retire();
-    // A reader that waits for its answer, to show that the coordinator does answer.
-    let (address, its_record) = (second.address, record.clone());
-    thread::spawn(move || read_patiently(address, &its_record));
-    thread::sleep(Duration::from_secs(1));
-    let told = second.tell(&[draining.entry("Terminating", 0)]);
-    thread::sleep(Duration::from_secs(18));
-    let counts = traffic.stop();
-    drop(gateway);
 
-    let told_at_last = (told + TOLD_AT_LAST).max(sighup + TOLD_AFTER_SIGHUP);
-    let late = sends_after(&draining, told_at_last + GRACE);
+    if trouble() {
+        processes.push(deployment.start("process-2", &record));
+        processes[0].signal(SIGTERM);
+        if !unit.wait_for_end(Duration::from_secs(7)) {
+            stop("the first process keeps its idle client");
+        }
+        record.note("client", "the gateway has ended the connection");
+    }
+    drop(unit);
+    let mut unit = connect(front);
+    let load = prepare(&mut unit, &format!("/* c=load */ {LOAD}"));
+    record.note("client", &format!("has a new connection, and prepared the load there: handle {load}"));
+    let before = runs.lock().unwrap().len();
+    let answer = execute(&mut unit, lookup, 99, &record);
+    thread::sleep(Duration::from_millis(300));
+    let ran: Vec<String> = runs.lock().unwrap()[before..]
+        .iter()
+        .map(|run| format!("{} ran: {}", run.engine, run.statement))
+        .collect();
+    drop(processes);
+    let is_unknown = matches!(answer, Answer::Error(UNKNOWN_HANDLE, _));
     let text = format!(
-        "e2 drains since {told:.3} s, and that counts as told at {told_at_last:.3} s at the latest: {late} new \
-         requests went to e2 more than {GRACE} s later; clients: {counts:?}"
+        "the handle {lookup} of the lookup, reused after reconnecting, is answered {answer:?}; {}",
+        if ran.is_empty() { "no engine ran anything".to_owned() } else { ran.join("; ") }
     );
-    std::process::exit(record.verdict(late > 0, &text));
+    std::process::exit(record.verdict(!is_unknown || !ran.is_empty(), &text));
+}
+
+fn connect(front: std::net::SocketAddr) -> Client {
+    Client::connect(front, "unit").unwrap_or_else(|error| stop(&format!("no connection: {error}")))
+}
+
+fn prepare(unit: &mut Client, text: &str) -> u32 {
+    unit.prepare(text).unwrap_or_else(|error| stop(&format!("{text} can't be prepared: {error}")))
+}
+
+/// Executes a handle as a new request.
+fn execute(unit: &mut Client, handle: u32, number: u32, record: &Record) -> Answer {
+    let id = format!("{number:016x}");
+    record.note("client", &format!("executes handle {handle} as the lookup, id {id}"));
+    let answer = unit.execute(handle, &[("i", &id), ("d", "3000")]);
+    let answer = answer.unwrap_or_else(|error| stop(&format!("the connection has ended: {error}")));
+    record.note("client", &format!("gets {answer:?}"));
+    answer
 }
 
-/// Asks for the events as a gateway does, and notes when they come.
-fn read_patiently(address: SocketAddr, record: &Record) {
-    let Ok(mut stream) = TcpStream::connect(address) else { return };
-    let _ = write!(stream, "GET /v2/stream HTTP/1.1\r\nHost: coordinator\r\nLast-Event-ID: 1\r\n\r\n");
-    for line in BufReader::new(stream).lines().map_while(Result::ok) {
-        if line.starts_with("data:") {
-            record.note("patient reader", &format!("is told: {line}"));
+/// Repeats the lookup while it is refused, as an engine's first requests may be.
+fn execute_until_served(unit: &mut Client, handle: u32, record: &Record) -> Answer {
+    let began = Instant::now();
+    let mut number = 0;
+    loop {
+        number += 1;
+        let answer = execute(unit, handle, number, record);
+        let refused = matches!(&answer, Answer::Error(_, text) if text.starts_with("refused"));
+        if !refused || began.elapsed() > Duration::from_secs(5) {
+            return answer;
         }
+        thread::sleep(Duration::from_millis(100));
     }
 }
--- a/review/common/gateway.rs
+++ b/review/common/gateway.rs
@@ -119,6 +119,14 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// Number of sockets that the process holds.
+    pub fn sockets(&self) -> usize {
+        let Ok(descriptors) = fs::read_dir(format!("/proc/{}/fd", self.child.id())) else { return 0 };
+        let target = |entry: fs::DirEntry| fs::read_link(entry.path()).ok();
+        let targets = descriptors.flatten().filter_map(target);
+        targets.filter(|target| target.to_string_lossy().starts_with("socket:")).count()
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/review/common/pg.rs
+++ b/review/common/pg.rs
@@ -40,6 +40,12 @@
         Ok(client)
     }
 
+    /// Says nothing until the gateway ends the connection.
+    pub fn wait_for_end(&mut self) {
+        let _ = self.stream.set_read_timeout(None);
+        while self.stream.read(&mut [0; 256]).is_ok_and(|length| length > 0) {}
+    }
+
     fn message(&mut self) -> io::Result<(u8, Vec<u8>)> {
         let mut head = [0; 5];
         self.stream.read_exact(&mut head)?;
