--- a/review/common/run-case.sh
+++ b/review/common/run-case.sh
@@ -11,9 +11,10 @@
 cd "$root" || exit 2
 timeout 110 "$program"
 code=$?
+# The test ends its gateways itself, unless it could not run or was ended by the limit.
 for file in "$TMPDIR"/*.pid; do
-    # The test has killed its gateways itself, unless it was ended by the limit.
-    if [ "$code" -gt 100 ] && [ -e "$file" ]; then kill -9 "$(cat "$file")" 2>/dev/null; fi
+    pid=$(cat "$file" 2>/dev/null) || continue
+    if grep -aq wrenhatch "/proc/$pid/cmdline" 2>/dev/null; then kill -9 "$pid"; fi
 done
 if [ -n "${KEEP:-}" ]; then echo "logs: $TMPDIR"; else rm -rf "$TMPDIR"; fi
 case $code in
