Review: keep only the stand-ins that the cases use

Cause: the two withdrawn cases left a coordinator and a generator of traffic behind. Change: both are gone, and the tests are formatted.

--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -11,8 +11,8 @@
 use common::engine::Engine;
 use common::gateway::{Deployment, SIGTERM};
 use common::mysql::{self, Answer, Client};
-use common::record::{Record, stop};
-use common::{coordinator, free_address, trouble};
+use common::record::{stop, Record};
+use common::{free_address, trouble};
 
 const LOOKUP: &str = "SELECT setpoint FROM bays_7.settings WHERE w = '20'";
 const LOAD: &str = "INSERT INTO bays_7.readings SELECT * FROM staging.batch WHERE w = '30'";
@@ -22,10 +22,9 @@
 fn main() {
     let record = Record::create();
     let runs = Arc::new(Mutex::new(Vec::new()));
-    let engines = ["e1", "e2"].map(|name| {
-        (Engine::start(name, &record), mysql::Engine::start(name, &record, &runs))
-    });
-    let entries: Vec<String> = engines.iter().map(|(http, _)| http.entry("Ready", 0)).collect();
+    let engines =
+        ["e1", "e2"].map(|name| (Engine::start(name, &record), mysql::Engine::start(name, &record, &runs)));
+    let entries: Vec<String> = engines.iter().map(|(http, _)| http.entry()).collect();
     let front = free_address();
     let mut operator_file = format!(
         "[mysql]\nlisten = \"{front}\"\nlogin = {{ user = \"gateway\" }}\n\
@@ -34,8 +33,7 @@
     for (http, mysql) in &engines {
         operator_file += &format!("{} = \"{}\"\n", http.name, mysql.address);
     }
-    let deployment =
-        Deployment::new(&[coordinator::event(1, true, &entries)], None, Some(&operator_file));
+    let deployment = Deployment::new(&entries, Some(&operator_file));
     let mut processes = vec![deployment.start("process-1", &record)];
 
     let mut unit = connect(front);
--- a/review/common/engine.rs
+++ b/review/common/engine.rs
@@ -78,10 +78,10 @@
         Self { name: name.to_owned(), address, state }
     }
 
-    /// Entry of the endpoint list. `since_ms`: Unix time of a late start, or 0.
-    pub fn entry(&self, status: &str, since_ms: u128) -> String {
+    /// Entry of the endpoint list, of an engine that is ready and started long ago.
+    pub fn entry(&self) -> String {
         format!(
-            r#"{{"name":"{}","address":"{}","zone":"z","type":"k","group":0,"status":"{status}","weight":1,"since_ms":{since_ms}}}"#,
+            r#"{{"name":"{}","address":"{}","zone":"z","type":"k","group":0,"status":"Ready","weight":1,"since_ms":0}}"#,
             self.name, self.address
         )
     }
--- a/review/common/gateway.rs
+++ b/review/common/gateway.rs
@@ -8,13 +8,12 @@
 use std::time::{Duration, Instant};
 
 use super::http;
-use super::record::{Record, stop};
+use super::record::{stop, Record};
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 
 /// What the platform tells a gateway, and the folder that it lies in.
@@ -34,42 +33,29 @@
 
 /// Value of a key of the deploy file.
 fn deploy_value(key: &str) -> String {
-    let text = fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|e| stop(&format!("deploy file: {e}")));
+    let text =
+        fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|e| stop(&format!("deploy file: {e}")));
     let line = text.lines().find_map(|line| line.strip_prefix(key)?.trim_start().strip_prefix('='));
-    line.map_or_else(|| stop("the deploy file has no such key"), |value| value.trim().trim_matches('"').to_owned())
+    line.map_or_else(
+        || stop("the deploy file has no such key"),
+        |value| value.trim().trim_matches('"').to_owned(),
+    )
 }
 
 impl Deployment {
     /// Writes the configuration into the temporary folder of the case. It is the small one of the project's tests with
-    /// these known events, coordinator and contents of the operator's file.
-    pub fn new(known: &[String], coordinator: Option<SocketAddr>, operator_file: Option<&str>) -> Self {
+    /// these entries of the endpoint list, and with these contents of the operator's file.
+    pub fn new(entries: &[String], operator_file: Option<&str>) -> Self {
         let folder = PathBuf::from(std::env::var("TMPDIR").unwrap_or_else(|_| stop("TMPDIR is not set")));
-        let deployment =
-            Self { folder, listen: super::free_address(), operator_file: operator_file.is_some() };
+        let listen = super::free_address();
         if let Some(text) = operator_file {
-            write(&deployment.folder.join("operator.toml"), text);
+            write(&folder.join("operator.toml"), text);
         }
-        deployment.configure(known, coordinator);
-        deployment
-    }
-
-    /// Writes the configuration anew.
-    pub fn configure(&self, known: &[String], coordinator: Option<SocketAddr>) {
         let template = fs::read_to_string("gateway/tests/common/config.json");
         let template = template.unwrap_or_else(|e| stop(&format!("the project's small configuration: {e}")));
-        let (head, settings) = template.split_once("\"known\":").expect("the key known");
-        let (_, settings) = settings.split_once("\"settings\":").expect("the key settings");
-        let head = head.replace("127.0.0.1:0", &self.listen.to_string());
-        let coordinator = coordinator.map(|address| format!("\"coordinator\":\"{address}\",")).unwrap_or_default();
-        let text = format!(
-            "{head}{coordinator}\"known\":{{\"index\":{},\"updates\":[{}]}},\"settings\":{settings}",
-            known.len(),
-            known.join(",")
-        );
-        // A reader never sees half of the file.
-        let (file, new) = (self.folder.join("config.json"), self.folder.join("config.json.new"));
-        write(&new, &text);
-        fs::rename(&new, &file).unwrap_or_else(|e| stop(&format!("config.json: {e}")));
+        let text = template.replace("127.0.0.1:0", &listen.to_string()).replace("LIST", &entries.join(","));
+        write(&folder.join("config.json"), &text);
+        Self { folder, listen, operator_file: operator_file.is_some() }
     }
 
     /// Starts a process and waits until it takes clients.
@@ -80,7 +66,8 @@
             run += &format!(" --config {}", self.folder.join("operator.toml").display());
         }
         run += " --log debug";
-        let log = File::create(self.folder.join(format!("{name}.log"))).unwrap_or_else(|e| stop(&e.to_string()));
+        let log =
+            File::create(self.folder.join(format!("{name}.log"))).unwrap_or_else(|e| stop(&e.to_string()));
         let child = Command::new("/bin/sh")
             .args(["-c", &run])
             .env("LB_NAME", "n0")
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -1,17 +1,15 @@
-//! Stand-ins for the cases of this review, on the standard library alone: clients, engines, the coordinator, and a
-//! gateway process that is started with the command of the deploy file. All of them use loopback addresses.
+//! Stand-ins for the cases of this review, on the standard library alone: clients, engines, and a gateway process that is started with the command of the deploy file. All of them use loopback addresses.
 //!
-//! Each stand-in follows the pages of the platform. Where a page is silent, it behaves like a sound peer.
+//! The list of engines is that of the configuration (`known`); no case needs a coordinator. Each stand-in follows the pages of
+//! the platform. Where a page is silent, it behaves like a sound peer.
 #![allow(dead_code)]
 
-pub mod coordinator;
 pub mod engine;
 pub mod gateway;
 pub mod http;
 pub mod mysql;
 pub mod pg;
 pub mod record;
-pub mod traffic;
 
 use std::net::{SocketAddr, TcpListener};
 
--- a/review/common/mysql.rs
+++ b/review/common/mysql.rs
@@ -180,8 +180,6 @@
     running: Mutex<HashMap<u32, bool>>,
     changed: Condvar,
     last_connection: Mutex<u32>,
-    /// Numbers of the connections that come up late, from 1, and how late.
-    late: Mutex<Option<(u32, Duration)>>,
 }
 
 /// The MySQL side of an engine. It ends with the program.
@@ -202,7 +200,6 @@
             running: Mutex::default(),
             changed: Condvar::new(),
             last_connection: Mutex::default(),
-            late: Mutex::default(),
         });
         let shared = state.clone();
         thread::spawn(move || {
@@ -213,12 +210,6 @@
         });
         Self { address, state }
     }
-
-    /// Lets the next connection come up late.
-    pub fn delay_next_connection(&self, delay: Duration) {
-        let next = *self.state.last_connection.lock().unwrap() + 1;
-        *self.state.late.lock().unwrap() = Some((next, delay));
-    }
 }
 
 impl State {
@@ -232,11 +223,6 @@
             *last += 1;
             *last
         };
-        let late = self.late.lock().unwrap().filter(|(number, _)| *number == connection);
-        if let Some((_, delay)) = late {
-            self.note(&format!("MySQL connection {connection} comes up {delay:?} late"));
-            thread::sleep(delay);
-        }
         if self.log_in(connection, &mut stream).is_ok() {
             self.note(&format!("MySQL connection {connection} is up"));
             while self.command(connection, &mut stream).is_ok() {}
@@ -290,7 +276,8 @@
                 let handle = u32::from_le_bytes([packet[1], packet[2], packet[3], packet[4]]);
                 let count = usize::from(packet[10]);
                 let (values, _) = read_values(&packet[11..], count).ok_or_else(malformed)?;
-                let statement = PREPARED.lock().unwrap().get(handle as usize).cloned().ok_or_else(malformed)?;
+                let statement =
+                    PREPARED.lock().unwrap().get(handle as usize).cloned().ok_or_else(malformed)?;
                 self.run(connection, stream, &statement, &values, true)
             }
             0x19 => Ok(()),
@@ -353,7 +340,11 @@
         self.note_end(&id, connection, killed);
         self.changed.notify_all();
         if killed {
-            return write_packets(stream, 1, &[b"\xff\x25\x05#70100Query execution was interrupted".to_vec()]);
+            return write_packets(
+                stream,
+                1,
+                &[b"\xff\x25\x05#70100Query execution was interrupted".to_vec()],
+            );
         }
         if statement.starts_with("INSERT") {
             return write_packets(stream, 1, &[vec![0, 1, 0, 2, 0, 0, 0]]);
