Log statement ids from preparation to the engine at debug

The log could not tell why an execution after a reconnect reached another statement: a session that inherits statements, an engine connection that mixes up its own ids, statements in the transferred state, or equal ids in both processes all looked alike. At debug, a process now logs its first statement id, each session, each prepared statement with the memory of its session's statements, each execution by id, and the engine's id by which it is forwarded.

--- a/gateway/src/engine/mysql/mod.rs
+++ b/gateway/src/engine/mysql/mod.rs
@@ -140,6 +140,13 @@
         self.execute_written
     }
 
+    /// The engine's id of the prepared statement that is being executed. `None` if the statement is SQL text, or is
+    /// not prepared yet.
+    pub fn executed_statement_id(&self) -> Option<u32> {
+        let Some(Statement::Execute(sql, ..)) = &self.statement else { return None };
+        self.prepared.get(sql).map(|prepared| prepared.statement_id)
+    }
+
     /// Whether this statement is prepared on the connection.
     pub fn has_prepared(&self, sql: &[u8]) -> bool {
         self.prepared.contains_key(sql)
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -95,8 +95,13 @@
     Simple,
     /// As SQL text, by COM_QUERY over MySQL.
     Query,
-    /// As a prepared statement with these parameters, by COM_STMT_EXECUTE over MySQL.
-    Execute(Vec<Parameter>),
+    /// As a prepared statement, by COM_STMT_EXECUTE over MySQL.
+    Execute {
+        /// Id by which the client refers to the statement.
+        statement_id: u32,
+        /// Values of the statement's placeholders.
+        parameters: Vec<Parameter>,
+    },
 }
 
 /// The action that a client's message requires of the event loop.
--- a/gateway/src/front/mysql/prepared_statements.rs
+++ b/gateway/src/front/mysql/prepared_statements.rs
@@ -118,14 +118,16 @@
         command
     }
 
-    /// Writes COM_STMT_PREPARE_OK for the statement being prepared, whose class and tenant are valid.
-    pub fn complete_prepare(&mut self, out: &mut Vec<u8>) {
+    /// Writes COM_STMT_PREPARE_OK for the statement being prepared, whose class and tenant are valid. Returns its
+    /// statement id; `None` if no statement is being prepared.
+    pub fn complete_prepare(&mut self, out: &mut Vec<u8>) -> Option<u32> {
         self.state = State::Ready;
-        let Some(statement) = self.pending.take() else { return };
+        let statement = self.pending.take()?;
         let statement_id = self.statement_ids.get();
         self.statement_ids.set(statement_id.wrapping_add(1));
         self.write_prepare_ok(statement_id, statement.parameter_count, out);
         self.statements.get_or_insert_default().insert(statement_id, statement);
+        Some(statement_id)
     }
 
     fn write_prepare_ok(&mut self, statement_id: u32, parameter_count: usize, out: &mut Vec<u8>) {
@@ -184,7 +186,7 @@
         let mut parameters = read_parameters(&mut reader, count, has_attributes, &mut statement.bound_types)?;
         let attributes = parameters.split_off(statement.parameter_count);
         parameters.iter_mut().for_each(|parameter| parameter.name.clear());
-        let mode = ExecutionMode::Execute(parameters);
+        let mode = ExecutionMode::Execute { statement_id, parameters };
         let request = ClientRequest { mode, ..statement.request.clone() };
         let bytes_after = statement.bytes();
         if let Some(statements) = &mut self.statements {
--- a/gateway/src/front/mysql/tests.rs
+++ b/gateway/src/front/mysql/tests.rs
@@ -91,7 +91,7 @@
         panic!("expected a request")
     };
     let null = Parameter { type_and_flag: 6, name: Vec::new(), value: None };
-    assert_eq!(request.mode, ExecutionMode::Execute(vec![null]));
+    assert_eq!(request.mode, ExecutionMode::Execute { statement_id: 10, parameters: vec![null] });
     assert_eq!(request.fields.tenant.as_deref(), Some("acme"));
 }
 
--- a/gateway/src/net/clients/accept.rs
+++ b/gateway/src/net/clients/accept.rs
@@ -43,6 +43,7 @@
         };
         let handle = self.sessions.insert(connection, front_end, from, &self.config, self.time.now_us);
         self.counters.clients += 1;
+        tracing::debug!(session = ?handle, ?front_end, "session opened");
         if decision == AcceptDecision::Rejection {
             if let Some(session) = self.sessions.table.active_mut(handle) {
                 session
--- a/gateway/src/net/clients/read.rs
+++ b/gateway/src/net/clients/read.rs
@@ -152,7 +152,11 @@
                 self.counters.invalid += 1;
                 mysql.answer_invalid(&invalid.to_string(), output);
             }
-            (None, Ok(())) => mysql.complete_prepare(output),
+            (None, Ok(())) => {
+                let statement_id = mysql.complete_prepare(output);
+                let statement_bytes = mysql.statement_bytes();
+                tracing::debug!(statement_id, session = ?handle, statement_bytes, "statement prepared");
+            }
             (None, Err(_)) => {
                 self.counters.no_memory += 1;
                 mysql.fail_prepare_out_of_memory(output);
--- a/gateway/src/net/clients/requests.rs
+++ b/gateway/src/net/clients/requests.rs
@@ -10,7 +10,7 @@
 use crate::core::{Command, Input, NewRequest};
 use crate::front::fields::{self, RequestFields};
 use crate::front::table_group;
-use crate::front::{ClientRequest, FinalAnswer, QueryResult};
+use crate::front::{ClientRequest, ExecutionMode, FinalAnswer, QueryResult};
 use crate::mysql_protocol::ResultSet;
 use crate::net::{OpenClientRequest, Server};
 
@@ -19,6 +19,9 @@
     /// [`admission`].
     pub(super) fn handle_request(&mut self, handle: Handle, request: ClientRequest) {
         let ClientRequest { mut fields, statement, mode } = request;
+        if let ExecutionMode::Execute { statement_id, .. } = mode {
+            tracing::debug!(statement_id, session = ?handle, "prepared statement executed by a client");
+        }
         let id_in_use = fields.id.as_ref().is_some_and(|id| self.requests.is_query_id_in_use(id));
         let query_id = fields.id.take().unwrap_or_else(|| self.sessions.new_query_id());
         let Some(session) = self.sessions.table.active_mut(handle) else { return };
--- a/gateway/src/net/engines/attempts.rs
+++ b/gateway/src/net/engines/attempts.rs
@@ -47,12 +47,13 @@
         let class = self.names.classes[request.class.0].as_str();
         let (execution, protocol) = match &request.mode {
             ExecutionMode::Simple => (http_execution(request, class, max_ms, terms), EngineProtocol::Http),
-            ExecutionMode::Query | ExecutionMode::Execute(_) => {
+            ExecutionMode::Query | ExecutionMode::Execute { .. } => {
                 (Execution::MySql { stmt: Some(mysql_stmt(request, class, max_ms)) }, EngineProtocol::MySql)
             }
         };
         let query_id = request.query_id.clone();
-        let prepared = matches!(request.mode, ExecutionMode::Execute(_)).then(|| request.statement.clone());
+        let prepared =
+            matches!(request.mode, ExecutionMode::Execute { .. }).then(|| request.statement.clone());
         match self.acquire_connection(engine, Job::Attempt(id), protocol, prepared.as_deref()) {
             Ok(slot) => {
                 let attempt = Attempt {
@@ -244,7 +245,9 @@
     );
     let sql = request.statement.clone();
     match &request.mode {
-        ExecutionMode::Execute(params) => mysql::Statement::Execute(sql, params.clone(), attributes),
+        ExecutionMode::Execute { parameters, .. } => {
+            mysql::Statement::Execute(sql, parameters.clone(), attributes)
+        }
         ExecutionMode::Simple | ExecutionMode::Query => mysql::Statement::Query(sql, attributes),
     }
 }
--- a/gateway/src/net/engines/calls.rs
+++ b/gateway/src/net/engines/calls.rs
@@ -3,7 +3,7 @@
 use workload_manager::{EndpointState, EngineId, Outcome};
 
 use super::{AttemptId, Execution, Job, ProtocolState};
-use crate::engine::http;
+use crate::engine::{http, mysql};
 use crate::net::Server;
 
 impl Server {
@@ -81,6 +81,7 @@
             (Execution::MySql { stmt }, ProtocolState::MySql(session)) => {
                 if let Some(stmt) = stmt.take() {
                     session.start(stmt, output);
+                    log_execution(&attempt.query_id, slot, session);
                 }
             }
             _ => {}
@@ -117,3 +118,17 @@
         self.pools.dirty.push(slot);
     }
 }
+
+/// Logs by which id an engine executes a prepared statement. Logs nothing while the statement is not prepared.
+pub(super) fn log_execution(query_id: &str, slot: usize, session: &mysql::Session) {
+    if let Some(engine_statement_id) = session.executed_statement_id() {
+        let engine_connection = session.connection_id;
+        tracing::debug!(
+            query_id,
+            slot,
+            engine_connection,
+            engine_statement_id,
+            "prepared statement forwarded"
+        );
+    }
+}
--- a/gateway/src/net/engines/mysql_events.rs
+++ b/gateway/src/net/engines/mysql_events.rs
@@ -2,6 +2,7 @@
 
 use workload_manager::Outcome;
 
+use super::calls::log_execution;
 use super::{AttemptId, ConnectionEnd, Job, ProtocolState};
 use crate::engine::mysql::Event;
 use crate::front::QueryResult;
@@ -66,9 +67,11 @@
             self.pools.close(&self.poll, &mut self.timers, slot);
             return self.end_attempt(id, Outcome::NeverSent, None);
         }
-        let Some(connection) = self.pools.connection(slot) else { return };
+        let Some(attempt) = self.pools.attempts.get(&id) else { return };
+        let Some(connection) = self.pools.connections.get_mut(slot).and_then(Option::as_mut) else { return };
         if let ProtocolState::MySql(session) = &mut connection.link.protocol_state {
             session.execute(&mut connection.conn.output);
+            log_execution(&attempt.query_id, slot, session);
         }
     }
 }
--- a/gateway/src/net/requests.rs
+++ b/gateway/src/net/requests.rs
@@ -28,8 +28,8 @@
     /// Size of the request in bytes, as reserved in the memory budget.
     pub fn bytes(&self) -> usize {
         let params = match &self.mode {
-            ExecutionMode::Execute(params) => {
-                params.iter().map(|p| PARAMETER_BYTES + p.value.as_ref().map_or(0, Vec::len)).sum()
+            ExecutionMode::Execute { parameters, .. } => {
+                parameters.iter().map(|p| PARAMETER_BYTES + p.value.as_ref().map_or(0, Vec::len)).sum()
             }
             ExecutionMode::Simple | ExecutionMode::Query => 0,
         };
--- a/gateway/src/net/sessions/mod.rs
+++ b/gateway/src/net/sessions/mod.rs
@@ -74,6 +74,8 @@
     /// must not match a session of each.
     pub fn new(config: &Config, salt: u64) -> Self {
         let deadlines = config.settings.classes.iter().map(|c| c.deadline);
+        let first_statement_id = (config.seed as u32).max(1);
+        tracing::debug!(seed = config.seed, first_statement_id, "statement ids initialized");
         Self {
             table: SessionTable::new(),
             scheduler: ReadScheduler::new(read_limits(config, deadlines)),
@@ -81,7 +83,7 @@
             dirty: Vec::new(),
             max_sessions: max_sessions(config),
             longest_message_bytes: limits::longest_message_bytes(config),
-            statement_ids: Rc::new(Cell::new((config.seed as u32).max(1))),
+            statement_ids: Rc::new(Cell::new(first_statement_id)),
             random_state: config.seed ^ salt,
             idle_timer: None,
         }
