--- a/gateway/src/front/mysql/tests.rs
+++ b/gateway/src/front/mysql/tests.rs
@@ -108,7 +108,7 @@
             let has_no_response = matches!(payload[0], 0x18 | 0x19);
             match command {
                 Some(ClientCommand::Request(_)) => session.answer(FinalAnswer::Rejected(None), &mut out),
-                Some(ClientCommand::Prepare(_)) => session.complete_prepare(&mut out),
+                Some(ClientCommand::Prepare(_)) => assert!(session.complete_prepare(&mut out).is_some()),
                 Some(ClientCommand::Close) => return !out.is_empty(),
                 _ => {}
             }
