Never return a statement id that another process of the gateway has returned

Seen: a MySQL client that reused the handle of a prepared lookup after a replacement of the process got the answer of a load.

Cause: each process counted statement ids up from the lower half of the configuration's seed. A successor is started with the same configuration, so both processes returned the same ids in the same order. So does a process that is started again with the same seed. An id is checked only against the statements of the client's own session, and there it named the statement that the new process had prepared under the same number.

Change: an id stands for a number of the wall clock, 4096 a second, and is returned only after the clock has passed it. A process begins at the number of its start, so it is behind everything that an ended process can have returned, without any state left by it; $TMPDIR is emptied at a restart. Processes side by side reserve disjoint ranges in a locked file in $TMPDIR, which they share; so a third process, a successor that ends early, and a predecessor that accepts clients again need nothing more. Where no number has been passed yet, the statement waits, without blocking the loop. Where the file can't be used, no statement is prepared. Numbers expire after an hour, so that an id returns after 12 days less an hour at the earliest.

Not taken: a number handed over in the state transfer, since a successor's successor and a predecessor that takes back its clients would need the same agreement again, and a restart has no one to ask; a random start, which only makes a clash rare.

--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -110,7 +110,7 @@
     /// Submit this request for admission. The session expects one call of `answer` or `answer_invalid`.
     Request(ClientRequest),
     /// Check against the settings the class and tenant of a statement that is being prepared. The MySQL session expects
-    /// one call of `complete_prepare`, `answer_invalid` or `fail_prepare_out_of_memory`.
+    /// one call of `complete_prepare`, `answer_invalid` or `fail_prepare`.
     Prepare(fields::RequestFields),
     /// Cancel the open request of another session.
     Cancel {
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -5,10 +5,9 @@
 //! need no decision. [`Session::answer`] writes the response to the open request. No command is read while a request is
 //! open.
 //!
-//! Prepared statements belong to the client's session, and the gateway assigns their ids. An engine prepares a
+//! Prepared statements belong to the client's session, and the gateway assigns their ids ([`statement_ids`]). An engine prepares a
 //! statement when it is first executed over one of its connections.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use super::{ClientCommand, ClientRequest, DisconnectReason, ExecutionMode, FinalAnswer, QueryResult};
@@ -21,6 +20,7 @@
 mod handshake;
 mod prepared_statements;
 mod responses;
+pub mod statement_ids;
 
 use prepared_statements::{PreparedStatement, PreparedStatements};
 
@@ -75,8 +75,6 @@
     tenant: Option<Rc<str>>,
     sequence: u8,
     statements: Option<Box<PreparedStatements>>,
-    /// Next statement id, shared by all sessions so that an id is never valid in two of them.
-    statement_ids: Rc<Cell<u32>>,
     /// A statement whose class and tenant are being validated against the settings.
     pending: Option<PreparedStatement>,
 }
@@ -87,7 +85,6 @@
         connection_id: u32,
         challenge: [u8; CHALLENGE_BYTES],
         directory: Rc<Directory>,
-        statement_ids: Rc<Cell<u32>>,
         out: &mut Vec<u8>,
     ) -> Self {
         let mut session = Self {
@@ -99,7 +96,6 @@
             tenant: None,
             sequence: 0,
             statements: None,
-            statement_ids,
             pending: None,
         };
         session.write_handshake(connection_id, out);
@@ -118,11 +114,7 @@
     }
 
     /// Restores a suspended session.
-    pub fn resume(
-        suspended: SuspendedSession,
-        directory: Rc<Directory>,
-        statement_ids: Rc<Cell<u32>>,
-    ) -> Self {
+    pub fn resume(suspended: SuspendedSession, directory: Rc<Directory>) -> Self {
         let SuspendedSession { capabilities, tenant, statements } = suspended;
         Self {
             state: State::Ready,
@@ -133,7 +125,6 @@
             tenant,
             sequence: 0,
             statements,
-            statement_ids,
             pending: None,
         }
     }
--- a/gateway/src/front/mysql/prepared_statements.rs
+++ b/gateway/src/front/mysql/prepared_statements.rs
@@ -118,16 +118,23 @@
         command
     }
 
-    /// Writes COM_STMT_PREPARE_OK for the statement being prepared, whose class and tenant are valid. Returns its
-    /// statement id; `None` if no statement is being prepared.
-    pub fn complete_prepare(&mut self, out: &mut Vec<u8>) -> Option<u32> {
+    /// Whether a statement is being prepared.
+    pub fn is_preparing(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Whether the session has a prepared statement with this id.
+    pub fn has_statement(&self, statement_id: u32) -> bool {
+        self.statements.as_ref().is_some_and(|s| s.by_id.contains_key(&statement_id))
+    }
+
+    /// Writes COM_STMT_PREPARE_OK for the statement being prepared, whose class and tenant are valid. The id must come
+    /// from [`statement_ids`](super::statement_ids), so that it is never valid in another session.
+    pub fn complete_prepare(&mut self, statement_id: u32, out: &mut Vec<u8>) {
         self.state = State::Ready;
-        let statement = self.pending.take()?;
-        let statement_id = self.statement_ids.get();
-        self.statement_ids.set(statement_id.wrapping_add(1));
+        let Some(statement) = self.pending.take() else { return };
         self.write_prepare_ok(statement_id, statement.parameter_count, out);
         self.statements.get_or_insert_default().insert(statement_id, statement);
-        Some(statement_id)
     }
 
     fn write_prepare_ok(&mut self, statement_id: u32, parameter_count: usize, out: &mut Vec<u8>) {
@@ -145,11 +152,10 @@
         }
     }
 
-    /// Answers COM_STMT_PREPARE with an error: the memory budget for prepared statements is exhausted.
-    pub fn fail_prepare_out_of_memory(&mut self, out: &mut Vec<u8>) {
+    /// Answers COM_STMT_PREPARE with an error, as the gateway has no memory or no id left for the statement.
+    pub fn fail_prepare(&mut self, message: &str, out: &mut Vec<u8>) {
         self.state = State::Ready;
         self.pending = None;
-        let message = "Too many prepared statements, no memory is left for more";
         self.invalid(error_code::ER_MAX_PREPARED_STMT_COUNT_REACHED, "42000", message, out);
     }
 
--- a/gateway/src/front/mysql/tests.rs
+++ b/gateway/src/front/mysql/tests.rs
@@ -9,8 +9,7 @@
     let account = Account { tenant: "acme".into(), password: String::new() };
     let directory = Rc::new(Directory::new([("unit".to_owned(), account)]));
     let mut out = Vec::new();
-    let statement_ids = Rc::new(Cell::new(10));
-    let mut session = Session::new(1, [7; 20], directory, statement_ids, &mut out);
+    let mut session = Session::new(1, [7; 20], directory, &mut out);
     let mut handshake_response = OFFERED_CAPABILITIES.to_le_bytes().to_vec();
     handshake_response[0] &= !(capabilities::CLIENT_CONNECT_WITH_DB as u8);
     handshake_response.extend([0, 0, 0, 1, 45]);
@@ -25,15 +24,15 @@
 fn a_resumed_session_has_its_statements_and_their_memory_is_released_on_close() {
     let mut session = ready_session();
     let mut out = Vec::new();
-    for _ in 0..3 {
+    for statement_id in 10..13 {
         session.read(&mut packet(b"\x16/* c=lookup */ SELECT ? FROM a_1.b", 0), &mut out);
-        session.complete_prepare(&mut out);
+        session.complete_prepare(statement_id, &mut out);
     }
     let bytes_before = session.statement_bytes();
-    let (directory, statement_ids) = (session.directory.clone(), session.statement_ids.clone());
+    let directory = session.directory.clone();
     let suspended = session.suspend();
     assert_eq!(suspended.statement_bytes(), bytes_before);
-    let mut session = Session::resume(suspended, directory, statement_ids);
+    let mut session = Session::resume(suspended, directory);
     assert_eq!(session.statement_bytes(), bytes_before);
     let execute = packet(&[0x17, 11, 0, 0, 0, 8, 1, 0, 0, 0, 1, 1, 1, 6, 0, 0], 0);
     let Some(ClientCommand::Request(request)) = session.read(&mut execute.clone(), &mut out) else {
@@ -58,7 +57,7 @@
 fn a_client_with_another_authentication_plugin_receives_an_auth_switch_request() {
     let directory = Rc::new(Directory::default());
     let mut out = Vec::new();
-    let mut session = Session::new(1, [7; 20], directory, Rc::new(Cell::new(1)), &mut out);
+    let mut session = Session::new(1, [7; 20], directory, &mut out);
     let mut handshake_response =
         (OFFERED_CAPABILITIES & !capabilities::CLIENT_CONNECT_WITH_DB).to_le_bytes().to_vec();
     handshake_response.extend([0; 28]);
@@ -79,7 +78,7 @@
     let mut out = Vec::new();
     let prepare = packet(b"\x16/* c=load */ INSERT INTO a_1.b VALUES (?)", 0);
     assert!(matches!(session.read(&mut prepare.clone(), &mut out), Some(ClientCommand::Prepare(_))));
-    session.complete_prepare(&mut out);
+    session.complete_prepare(10, &mut out);
     out.clear();
     let send_long_data = packet(&[0x18, 10, 0, 0, 0, 0, 0, b'x'], 0);
     assert_eq!(session.read(&mut send_long_data.clone(), &mut out), Some(ClientCommand::Handled));
@@ -108,7 +107,11 @@
             let has_no_response = matches!(payload[0], 0x18 | 0x19);
             match command {
                 Some(ClientCommand::Request(_)) => session.answer(FinalAnswer::Rejected(None), &mut out),
-                Some(ClientCommand::Prepare(_)) => assert!(session.complete_prepare(&mut out).is_some()),
+                Some(ClientCommand::Prepare(_)) => {
+                    assert!(session.is_preparing());
+                    session.complete_prepare(1, &mut out);
+                    assert!(session.has_statement(1));
+                }
                 Some(ClientCommand::Close) => return !out.is_empty(),
                 _ => {}
             }
--- a/gateway/src/net/clients/read.rs
+++ b/gateway/src/net/clients/read.rs
@@ -95,7 +95,7 @@
 
     /// Handles messages until the next one is incomplete, a request is open, too much output is unsent, the session
     /// begins to close, or the message limit of one call is reached.
-    pub(super) fn read_messages(&mut self, handle: Handle) {
+    pub(in crate::net) fn read_messages(&mut self, handle: Handle) {
         let mut remaining = self.sessions.scheduler.limits().messages_per_turn;
         let mut progressed = false;
         while remaining > 0 && self.read_message(handle) {
@@ -138,8 +138,8 @@
         true
     }
 
-    /// Answers a request to prepare a statement. Preparing fails if the settings do not contain the class or tenant in
-    /// the statement's fields, or if memory is short.
+    /// Answers a request to prepare a statement, or lets it wait for a statement id. Preparing fails if the settings do
+    /// not contain the class or tenant in the statement's fields, or if memory is short.
     fn prepare_statement(&mut self, handle: Handle, fields: &RequestFields) {
         let invalid = admission::resolve_names(&self.names, fields).err();
         let Some(session) = self.sessions.table.active_mut(handle) else { return };
@@ -152,14 +152,10 @@
                 self.counters.invalid += 1;
                 mysql.answer_invalid(&invalid.to_string(), output);
             }
-            (None, Ok(())) => {
-                let statement_id = mysql.complete_prepare(output);
-                let statement_bytes = mysql.statement_bytes();
-                tracing::debug!(statement_id, session = ?handle, statement_bytes, "statement prepared");
-            }
+            (None, Ok(())) => self.assign_statement_id(handle),
             (None, Err(_)) => {
                 self.counters.no_memory += 1;
-                mysql.fail_prepare_out_of_memory(output);
+                mysql.fail_prepare("Too many prepared statements, no memory is left for more", output);
             }
         }
         self.sessions.update_reservation(handle);
--- a/gateway/src/net/event_loop.rs
+++ b/gateway/src/net/event_loop.rs
@@ -184,6 +184,7 @@
                 NetTimer::Reload(failures) => self.reload(failures),
                 NetTimer::Listeners => self.listeners.resume(&self.poll),
                 NetTimer::Admin => self.admin_timer_fired(),
+                NetTimer::StatementIds => self.assign_awaited_statement_ids(),
                 // This timer only wakes the loop, which advances the shutdown at the end of each turn.
                 NetTimer::Shutdown => {}
             }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! [`Server`] owns the state. Each concern has a module:
 //! - `event_loop`: one turn of the loop, from events to output
-//! - clients: `listeners`, `clients`, `sessions`, `requests`
+//! - clients: `listeners`, `clients`, `sessions`, `requests`, `statement_ids`
 //! - engines: `engines`, `pools`, `watch` (the endpoint list)
 //! - operation: `admin`, `control_plane`, `live_reconfiguration`, `reload`, `process_replacement`, `shutdown`
 //! - shared by all: `poll` and `poll_key` (readiness), `connection` (TCP), `timer`, `signals`
@@ -29,6 +29,7 @@
 mod sessions;
 mod shutdown;
 mod signals;
+mod statement_ids;
 mod timer;
 mod watch;
 
@@ -95,6 +96,11 @@
         let unix_offset_us = i128::try_from(since_epoch.as_micros()).unwrap_or(0);
         Self { started: Instant::now(), now_us: 0, unix_offset_us }
     }
+
+    /// Unix time of the start of the current turn, in microseconds. Does not follow changes of the system's clock.
+    fn unix_us(&self) -> u64 {
+        u64::try_from(self.unix_offset_us + i128::from(self.now_us)).unwrap_or(0)
+    }
 }
 
 /// The running gateway.
@@ -117,6 +123,7 @@
     listeners: Listeners,
     sessions: Sessions,
     requests: Requests,
+    statement_ids: statement_ids::StatementIdSource,
 
     // Engines.
     pools: pools::Pools,
@@ -168,6 +175,7 @@
     ) -> Result<Self, ServeError> {
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let process_salt = since_epoch.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(40);
+        let time = Time::start(since_epoch);
         let random = config.seed as u32 as f64 / f64::from(u32::MAX);
         let endpoint_watch = EndpointWatch::new(last_list_index, config.memory_bytes, random);
         let control_plane = config.control_plane.clone().map(|settings| {
@@ -180,7 +188,8 @@
             names: std::mem::take(&mut config.names),
             counters: Counters::default(),
             poll,
-            time: Time::start(since_epoch),
+            statement_ids: statement_ids::StatementIdSource::new(&config, time.unix_us()),
+            time,
             timers: TimerWheel::new(),
             timer_lag: TimerLag::default(),
             listeners,
--- a/gateway/src/net/sessions/mod.rs
+++ b/gateway/src/net/sessions/mod.rs
@@ -12,9 +12,7 @@
 pub use protocol::{ProtocolSession, too_many_clients};
 pub use state::{ACTIVE_SESSION_BYTES, CLOSE_TIMEOUT_US, MESSAGE_TIMEOUT_US, SUSPENDED_SESSION_BYTES};
 
-use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
-use std::rc::Rc;
 
 use wrenhatch_sessions::memory_budget::{MemoryBudget, MemoryPurpose};
 use wrenhatch_sessions::read_scheduler::{RECENTLY_ACTIVE_US, ReadPriority, ReadScheduler};
@@ -52,8 +50,6 @@
     pub max_sessions: usize,
     /// Length of the longest message accepted from a client, in bytes.
     longest_message_bytes: usize,
-    /// The next id of a prepared statement, shared by all sessions.
-    statement_ids: Rc<Cell<u32>>,
     random_state: u64,
     /// Fires when the longest idle session may have reached the idle limit.
     pub idle_timer: Option<TimerId>,
@@ -74,8 +70,6 @@
     /// must not match a session of each.
     pub fn new(config: &Config, salt: u64) -> Self {
         let deadlines = config.settings.classes.iter().map(|c| c.deadline);
-        let first_statement_id = (config.seed as u32).max(1);
-        tracing::debug!(seed = config.seed, first_statement_id, "statement ids initialized");
         Self {
             table: SessionTable::new(),
             scheduler: ReadScheduler::new(read_limits(config, deadlines)),
@@ -83,7 +77,6 @@
             dirty: Vec::new(),
             max_sessions: max_sessions(config),
             longest_message_bytes: limits::longest_message_bytes(config),
-            statement_ids: Rc::new(Cell::new(first_statement_id)),
             random_state: config.seed ^ salt,
             idle_timer: None,
         }
@@ -150,15 +143,8 @@
                 for part in challenge.chunks_mut(4) {
                     part.copy_from_slice(&self.next_random().to_le_bytes());
                 }
-                let (directory, statement_ids) = (m.directory.clone(), self.statement_ids.clone());
-                let output = &mut connection.output;
-                ProtocolSession::MySql(Box::new(mysql::Session::new(
-                    slot,
-                    challenge,
-                    directory,
-                    statement_ids,
-                    output,
-                )))
+                let (directory, output) = (m.directory.clone(), &mut connection.output);
+                ProtocolSession::MySql(Box::new(mysql::Session::new(slot, challenge, directory, output)))
             }
             _ => ProtocolSession::Pg(pg::Session::new(
                 pg::BackendKey { process_id: slot, secret },
@@ -173,13 +159,13 @@
     /// Resumes a session if it is suspended. Returns false if the session no longer exists.
     pub fn resume(&mut self, handle: Handle, config: &Config, now_us: u64) -> bool {
         let (longest, read_ahead) = (self.longest_message_bytes, self.read_ahead_bytes());
-        let (memory, statement_ids) = (&mut self.memory, &self.statement_ids);
+        let memory = &mut self.memory;
         self.table.resume(handle, now_us, |suspended| {
             let statements = suspended.statement_bytes();
             let protocol = match (suspended.protocol, &config.mysql) {
-                (SuspendedProtocol::MySql(protocol), Some(m)) => ProtocolSession::MySql(Box::new(
-                    mysql::Session::resume(protocol, m.directory.clone(), statement_ids.clone()),
-                )),
+                (SuspendedProtocol::MySql(protocol), Some(m)) => {
+                    ProtocolSession::MySql(Box::new(mysql::Session::resume(protocol, m.directory.clone())))
+                }
                 _ => {
                     let key = pg::BackendKey { process_id: handle.index + 1, secret: suspended.secret };
                     ProtocolSession::Pg(pg::Session::resume(key, longest))
--- a/gateway/src/net/sessions/protocol.rs
+++ b/gateway/src/net/sessions/protocol.rs
@@ -52,6 +52,14 @@
         delegate!(self, answer, answer, output)
     }
 
+    /// Whether a statement is being prepared, which waits for an id if it is after the turn's reads.
+    pub fn is_preparing(&self) -> bool {
+        match self {
+            ProtocolSession::Pg(_) => false,
+            ProtocolSession::MySql(session) => session.is_preparing(),
+        }
+    }
+
     /// Size of the session's prepared statements in bytes.
     pub fn statement_bytes(&self) -> usize {
         match self {
--- a/gateway/src/net/sessions/state.rs
+++ b/gateway/src/net/sessions/state.rs
@@ -82,7 +82,7 @@
     pub fn activity(&self) -> Activity {
         match self.awaited_since_us {
             Some(_) if self.connection.phase == Phase::Closing => Activity::Closing,
-            _ if self.open_request.is_some() => Activity::Busy,
+            _ if self.open_request.is_some() || self.protocol.is_preparing() => Activity::Busy,
             Some(_) => Activity::IncompleteMessage,
             None if !self.connection.output.is_empty() => Activity::UnreadOutput,
             None if self.protocol.statement_bytes() > 0 => Activity::IdleWithStatements,
@@ -94,7 +94,7 @@
     /// be read.
     pub fn should_read_again(&self) -> bool {
         let may_read = self.open_request.is_some() || self.connection.output.len() <= MAX_UNSENT_BYTES;
-        self.has_unread_input && may_read
+        self.has_unread_input && may_read && !self.protocol.is_preparing()
     }
 
     /// Deadline of the wait for the client, in microseconds; `None` if the client is not waited for.
--- a/gateway/src/net/shutdown.rs
+++ b/gateway/src/net/shutdown.rs
@@ -115,8 +115,10 @@
         if must_answer && !std::mem::replace(&mut self.shutdown.has_requested_answers, true) {
             self.inputs.push(Input::ShuttingDown);
         }
-        let answers_pending =
-            !self.requests.open.is_empty() || !self.inputs.is_empty() || self.admin.is_answering();
+        let answers_pending = !self.requests.open.is_empty()
+            || !self.inputs.is_empty()
+            || self.statement_ids.is_awaited()
+            || self.admin.is_answering();
         let writes_pending =
             self.sessions.is_writing() && !must_answer && self.shutdown.linger_start_us.is_none();
         if answers_pending || writes_pending {
--- /dev/null
+++ b/gateway/src/net/statement_ids.rs
@@ -0,0 +1,202 @@
+//! Statement ids for the MySQL front end: the ledger that the processes of a gateway share in a file, and the sessions
+//! that wait for an id.
+
+use std::collections::VecDeque;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Seek, Write};
+use std::path::PathBuf;
+
+use rustix::fs::{FlockOperation, flock};
+use wrenhatch_sessions::session_table::Handle;
+
+use super::process_replacement::gateway_file;
+use super::sessions::ProtocolSession;
+use super::{NetTimer, Server};
+use crate::config::Config;
+use crate::front::mysql::statement_ids::{Ledger, Reservation, StatementIds};
+
+/// Time until the clock has passed more numbers, or until another process has released the lock.
+const RETRY_US: u64 = 1000;
+/// Limit on what is read of the file. A longer file is not an encoded ledger.
+const MAX_FILE_BYTES: u64 = 64;
+
+/// Where the ledger is stored.
+#[derive(Debug)]
+enum LedgerStore {
+    /// A file that is locked during each reservation.
+    File(PathBuf),
+    /// Without a directory that processes share, there is no replacement and no other process.
+    Memory(Option<Ledger>),
+}
+
+impl LedgerStore {
+    /// Replaces the stored ledger by `update`'s result, which is returned. `None` if another process has locked the
+    /// ledger.
+    ///
+    /// # Errors
+    /// Opening, locking, reading or writing the file failed. The stored ledger may be incomplete.
+    fn update<T>(&mut self, update: impl FnOnce(Option<Ledger>) -> (Ledger, T)) -> io::Result<Option<T>> {
+        match self {
+            LedgerStore::Memory(stored) => {
+                let (ledger, result) = update(*stored);
+                *stored = Some(ledger);
+                Ok(Some(result))
+            }
+            LedgerStore::File(path) => {
+                let mut file =
+                    OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
+                // Closing the file releases the lock.
+                match flock(&file, FlockOperation::NonBlockingLockExclusive) {
+                    Err(rustix::io::Errno::WOULDBLOCK) => return Ok(None),
+                    other => other?,
+                }
+                let (ledger, result) = update(read_ledger(&mut file)?);
+                file.rewind()?;
+                file.write_all(ledger.encode().as_bytes())?;
+                Ok(Some(result))
+            }
+        }
+    }
+}
+
+fn read_ledger(file: &mut File) -> io::Result<Option<Ledger>> {
+    let mut text = Vec::new();
+    file.take(MAX_FILE_BYTES).read_to_end(&mut text)?;
+    Ok(Ledger::decode(&text))
+}
+
+/// The statement ids of this process, and the sessions that wait for one.
+pub struct StatementIdSource {
+    ids: StatementIds,
+    store: LedgerStore,
+    /// The last access to the ledger failed.
+    has_failed: bool,
+    waiting: VecDeque<Handle>,
+    /// The timer for the waiting sessions is armed.
+    is_timer_armed: bool,
+}
+
+impl StatementIdSource {
+    /// Prepares the ledger, if the MySQL front end is enabled. An error is repeated when an id is needed.
+    pub fn new(config: &Config, unix_us: u64) -> Self {
+        let store = match gateway_file(config, "statement-ids") {
+            Some(path) => LedgerStore::File(path),
+            None => LedgerStore::Memory(None),
+        };
+        let mut source = Self {
+            ids: StatementIds::new(&config.name),
+            store,
+            has_failed: false,
+            waiting: VecDeque::new(),
+            is_timer_armed: false,
+        };
+        if config.mysql.is_some() {
+            let ids = &mut source.ids;
+            let initial = source.store.update(|stored| {
+                let ledger = ids.initial_ledger(stored, unix_us);
+                (ledger, (stored, ledger))
+            });
+            source.log_access(&initial);
+            if let Ok(Some((stored, ledger))) = initial {
+                tracing::debug!(?stored, ?ledger, "statement ids initialized");
+            }
+        }
+        source
+    }
+
+    /// Whether any session waits for an id.
+    pub fn is_awaited(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// The next statement id. `None` if none is available at this time.
+    ///
+    /// # Errors
+    /// The ledger can't be read or written, so that another process may hand out the same ids.
+    fn next(&mut self, unix_us: u64) -> io::Result<Option<u32>> {
+        if let Some(id) = self.ids.take(unix_us) {
+            return Ok(Some(id));
+        }
+        let ids = &mut self.ids;
+        let reservation = self.store.update(|stored| {
+            let reservation = ids.next_reservation(stored, unix_us);
+            (reservation.ledger, reservation)
+        });
+        self.log_access(&reservation);
+        Ok(reservation?.and_then(|reservation: Reservation| {
+            tracing::debug!(?reservation, "statement ids reserved");
+            self.ids.add(reservation);
+            self.ids.take(unix_us)
+        }))
+    }
+
+    /// Logs the first of several errors in a row.
+    fn log_access<T>(&mut self, result: &io::Result<T>) {
+        let has_failed = result.is_err();
+        if let (Err(error), false) = (result, self.has_failed) {
+            tracing::error!(%error, store = ?self.store, "no statement can be prepared: no access to the statement ids");
+        }
+        self.has_failed = has_failed;
+    }
+}
+
+impl Server {
+    /// Answers the request to prepare a statement whose fields are valid: with an id, with an error, or once an id is
+    /// available.
+    pub(super) fn assign_statement_id(&mut self, handle: Handle) {
+        if self.statement_ids.is_awaited() || !self.try_assign_statement_id(handle) {
+            self.await_statement_id(handle);
+        }
+    }
+
+    fn await_statement_id(&mut self, handle: Handle) {
+        self.statement_ids.waiting.push_back(handle);
+        self.arm_statement_id_timer();
+    }
+
+    fn arm_statement_id_timer(&mut self) {
+        if !std::mem::replace(&mut self.statement_ids.is_timer_armed, true) {
+            self.timers.arm(self.time.now_us + RETRY_US, NetTimer::StatementIds);
+        }
+    }
+
+    /// Assigns ids to the waiting sessions, in order, while ids are available. A session that waits again for its next
+    /// statement has to wait for the next timer.
+    pub(super) fn assign_awaited_statement_ids(&mut self) {
+        self.statement_ids.is_timer_armed = false;
+        for _ in 0..self.statement_ids.waiting.len() {
+            let Some(handle) = self.statement_ids.waiting.pop_front() else { break };
+            if !self.try_assign_statement_id(handle) {
+                self.statement_ids.waiting.push_front(handle);
+                break;
+            }
+            // Messages behind the statement are handled now.
+            self.read_messages(handle);
+        }
+        if self.statement_ids.is_awaited() {
+            self.arm_statement_id_timer();
+        }
+    }
+
+    /// Returns false if the session's statement needs an id and none is available.
+    fn try_assign_statement_id(&mut self, handle: Handle) -> bool {
+        let Some(session) = self.sessions.table.active_mut(handle) else { return true };
+        let ProtocolSession::MySql(mysql) = &mut session.protocol else { return true };
+        let output = &mut session.connection.output;
+        while mysql.is_preparing() {
+            match self.statement_ids.next(self.time.unix_us()) {
+                // An id of a session that is older than the period of ids may still be in use.
+                Ok(Some(statement_id)) if mysql.has_statement(statement_id) => {}
+                Ok(Some(statement_id)) => {
+                    mysql.complete_prepare(statement_id, output);
+                    let statement_bytes = mysql.statement_bytes();
+                    tracing::debug!(statement_id, session = ?handle, statement_bytes, "statement prepared");
+                }
+                Ok(None) => return false,
+                Err(_) => mysql.fail_prepare("No id is available for the statement", output),
+            }
+        }
+        self.sessions.mark_dirty(handle);
+        true
+    }
+}
--- a/gateway/src/net/timer.rs
+++ b/gateway/src/net/timer.rs
@@ -28,6 +28,8 @@
     Listeners,
     /// The oldest connection of the admin interface may have timed out.
     Admin,
+    /// More statement ids may be available to the sessions that wait for one.
+    StatementIds,
     /// The next phase of the graceful shutdown may begin.
     Shutdown,
 }
--- a/gateway/tests/common/gateway.rs
+++ b/gateway/tests/common/gateway.rs
@@ -161,6 +161,25 @@
         Self::launch(Self::create_dir(engines, false, None, ""), ([127, 0, 0, 1], 0).into(), None, true)
     }
 
+    /// Starts a gateway for these engines with the MySQL front end and the admin interface.
+    pub fn start_with_mysql_and_admin(engines: &[&Engine]) -> Self {
+        Self::launch(Self::create_dir(engines, true, None, ""), ([127, 0, 0, 1], 0).into(), None, true)
+    }
+
+    /// Kills the process and starts it again with the same configuration and an empty temporary directory.
+    pub fn restart(self) -> Self {
+        let dir = self.dir.clone();
+        self.kill();
+        let kept = ["config.json", "operator.toml", "log-level"];
+        for entry in std::fs::read_dir(&**dir).unwrap() {
+            let entry = entry.unwrap();
+            if !kept.iter().any(|name| entry.file_name() == *name) {
+                std::fs::remove_file(entry.path()).unwrap();
+            }
+        }
+        Self::launch(dir, ([127, 0, 0, 1], 0).into(), None, true)
+    }
+
     /// Starts a process that replaces this one, and waits until it is serving.
     pub fn successor(&self) -> Self {
         Self::launch(self.dir.clone(), self.pg, None, true)
@@ -272,6 +291,11 @@
         self.dir.join("wrenhatch-t.sock")
     }
 
+    /// Path of the file in which the processes of the gateway reserve statement ids.
+    pub fn statement_id_file(&self) -> std::path::PathBuf {
+        self.dir.join("wrenhatch-t.statement-ids")
+    }
+
     /// Changes the configuration file and sends SIGHUP.
     pub fn reconfigure(&self, change: impl Fn(String) -> String) {
         let file = self.dir.join("config.json");
--- a/gateway/tests/common/mysql.rs
+++ b/gateway/tests/common/mysql.rs
@@ -116,7 +116,26 @@
 
     /// Prepares a statement. Returns its handle and number of parameters.
     pub fn prepare(&mut self, text: &str) -> Result<(u32, u16), Answer> {
+        self.send_prepare(text);
+        self.read_prepared()
+    }
+
+    /// Sends COM_STMT_PREPARE without waiting for the response.
+    pub fn send_prepare(&mut self, text: &str) {
         self.command(0x16, text.as_bytes());
+    }
+
+    /// Whether a response arrives within this time. It is not read.
+    pub fn has_response(&mut self, within: Duration) -> bool {
+        let timeout = self.stream.read_timeout().unwrap();
+        self.stream.set_read_timeout(Some(within)).unwrap();
+        let has_response = self.stream.peek(&mut [0]).is_ok();
+        self.stream.set_read_timeout(timeout).unwrap();
+        has_response
+    }
+
+    /// Reads the response to COM_STMT_PREPARE. Returns the statement's handle and number of parameters.
+    pub fn read_prepared(&mut self) -> Result<(u32, u16), Answer> {
         let (_, p) = read_packet(&mut self.stream).unwrap();
         if p[0] == 0xff {
             return Err(error(&p));
