Draw secrets, challenges and query ids from a generator that the system seeds

Seen: from the secrets of three own connections of the PostgreSQL front, a client computes the secret of whoever connects next, and can cancel that client's requests. The same numbers are the MySQL front's challenges and the ids of requests that have none; an engine knows a query by its id alone.

Cause: one linear congruential generator gave all of them. Its state was the configuration's seed, which both processes of a replacement share, combined with start time and process id. A secret is the upper half of the state, so the other half can be tried out. The comment on it said that later numbers can be computed; nothing kept them from clients.

Change: StdRng of the crate rand, seeded by the system. A process that gets no random numbers doesn't start and says so.

Why it works: the generator is cryptographically secure, and nothing of its seed is in the configuration, the clock or the process. Two secrets of 32 bits may still be equal by chance, once in 2^32 for a pair.

--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -76,6 +76,9 @@
     /// A call to the poller failed.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// The system has no random numbers for the secrets of clients.
+    #[error("random numbers: {0}")]
+    Random(#[from] rand::rand_core::OsError),
     /// The workload manager rejected the settings as invalid.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
@@ -174,7 +177,6 @@
         last_list_index: u64,
     ) -> Result<Self, ServeError> {
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let process_salt = since_epoch.as_nanos() as u64 ^ u64::from(std::process::id()).rotate_left(40);
         let time = Time::start(since_epoch);
         let random = config.seed as u32 as f64 / f64::from(u32::MAX);
         let endpoint_watch = EndpointWatch::new(last_list_index, config.memory_bytes, random);
@@ -193,7 +195,7 @@
             timers: TimerWheel::new(),
             timer_lag: TimerLag::default(),
             listeners,
-            sessions: Sessions::new(&config, process_salt),
+            sessions: Sessions::new(&config)?,
             requests: Requests::default(),
             pools: pools::Pools::default(),
             watch: watch::Watch::new(endpoint_watch),
--- a/gateway/src/net/sessions/mod.rs
+++ b/gateway/src/net/sessions/mod.rs
@@ -14,6 +14,9 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use rand::rand_core::OsError;
+use rand::rngs::{OsRng, StdRng};
+use rand::{RngCore, SeedableRng};
 use wrenhatch_sessions::memory_budget::{MemoryBudget, MemoryPurpose};
 use wrenhatch_sessions::read_scheduler::{RECENTLY_ACTIVE_US, ReadPriority, ReadScheduler};
 use wrenhatch_sessions::session_table::{Activity, Handle, RemovedSession, SessionTable};
@@ -50,7 +53,9 @@
     pub max_sessions: usize,
     /// Length of the longest message accepted from a client, in bytes.
     longest_message_bytes: usize,
-    random_state: u64,
+    /// Seeded by the system and not by the configuration: two processes of a gateway may have the same seed, and no
+    /// client may compute the secrets and query ids of others.
+    random: StdRng,
     /// Fires when the longest idle session may have reached the idle limit.
     pub idle_timer: Option<TimerId>,
 }
@@ -66,20 +71,22 @@
 }
 
 impl Sessions {
-    /// `salt` must differ between processes. Two processes of a gateway may have the same seed, and a CancelRequest
-    /// must not match a session of each.
-    pub fn new(config: &Config, salt: u64) -> Self {
+    /// Creates an empty session table.
+    ///
+    /// # Errors
+    /// The system has no random numbers.
+    pub fn new(config: &Config) -> Result<Self, OsError> {
         let deadlines = config.settings.classes.iter().map(|c| c.deadline);
-        Self {
+        Ok(Self {
             table: SessionTable::new(),
             scheduler: ReadScheduler::new(read_limits(config, deadlines)),
             memory: MemoryBudget::new(config.memory_bytes),
             dirty: Vec::new(),
             max_sessions: max_sessions(config),
             longest_message_bytes: limits::longest_message_bytes(config),
-            random_state: config.seed ^ salt,
+            random: StdRng::try_from_rng(&mut OsRng)?,
             idle_timer: None,
-        }
+        })
     }
 
     /// The poller's key of a session.
@@ -87,12 +94,9 @@
         PollKey::Session(handle).encode()
     }
 
-    /// The next number of a linear congruential generator that is seeded at the start of the process. The generator is
-    /// not cryptographically secure: later numbers can be computed from earlier ones.
+    /// A random number that can't be computed from others.
     pub fn next_random(&mut self) -> u32 {
-        self.random_state =
-            self.random_state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.random_state >> 32) as u32
+        self.random.next_u32()
     }
 
     /// A random number from 0 to 1, both included.
@@ -102,8 +106,7 @@
 
     /// Generates a query id of 16 hex digits, for a request without an id.
     pub fn new_query_id(&mut self) -> String {
-        let (high, low) = (self.next_random(), self.next_random());
-        format!("{high:08x}{low:08x}")
+        format!("{:016x}", self.random.next_u64())
     }
 
     /// Whether a session must be evicted before a new client gets one.
@@ -140,9 +143,7 @@
         let protocol = match (front_end, &config.mysql) {
             (FrontEnd::MySql, Some(m)) => {
                 let mut challenge = [0; 20];
-                for part in challenge.chunks_mut(4) {
-                    part.copy_from_slice(&self.next_random().to_le_bytes());
-                }
+                self.random.fill_bytes(&mut challenge);
                 let (directory, output) = (m.directory.clone(), &mut connection.output);
                 ProtocolSession::MySql(Box::new(mysql::Session::new(slot, challenge, directory, output)))
             }
--- a/gateway/src/net/sessions/tests.rs
+++ b/gateway/src/net/sessions/tests.rs
@@ -11,7 +11,7 @@
 /// Operators' tools and the lab parse these names.
 #[test]
 fn printed_figures_keep_their_names_and_order() {
-    let sessions = Sessions::new(&Config { memory_bytes: 64 << 20, ..config() }, 0);
+    let sessions = Sessions::new(&Config { memory_bytes: 64 << 20, ..config() }).unwrap();
     let expected = "all=0 parked=0 told=0 unfinished=0 unread=0 idle=0 keeping=0 held=0 most_held=0 bound=33554432 \
         held_sessions=0 held_buffers=0 held_requests=0 held_results=0 held_statements=0 waiting=0 deferred=0 \
         longest_turn_us=0 longest_open_us=0 longest_begun_us=0 longest_active_us=0 longest_woken_us=0 \
@@ -32,3 +32,12 @@
         assert!(each > 10, "{sockets}: {each} per process are too few");
     }
 }
+
+/// Secrets and query ids must not repeat in another process with the same configuration, whatever its start time.
+#[test]
+fn random_numbers_are_independent_of_the_configuration() {
+    let mut sessions = [(); 2].map(|()| Sessions::new(&config()).unwrap());
+    let draws = sessions.each_mut().map(|sessions| [(); 8].map(|()| sessions.next_random()));
+    assert_ne!(draws[0], draws[1]);
+    assert_ne!(sessions[0].new_query_id(), sessions[1].new_query_id());
+}
