Give the paths of files that a gateway's processes share a module of their own

The socket of a replacement and the reserved statement ids lie in the same directory by the same rule, which stood with the passing of listeners.

--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -6,7 +6,7 @@
 //! - clients: `listeners`, `clients`, `sessions`, `requests`, `statement_ids`
 //! - engines: `engines`, `pools`, `watch` (the endpoint list)
 //! - operation: `admin`, `control_plane`, `live_reconfiguration`, `reload`, `process_replacement`, `shutdown`
-//! - shared by all: `poll` and `poll_key` (readiness), `connection` (TCP), `timer`, `signals`
+//! - shared by all: `poll` and `poll_key` (readiness), `connection` (TCP), `timer`, `signals`, `shared_files`
 //!
 //! Scheduling decisions, the core and all protocols are implemented outside this module and perform no I/O. This
 //! module does the I/O for them.
@@ -27,6 +27,7 @@
 mod reload;
 mod requests;
 mod sessions;
+mod shared_files;
 mod shutdown;
 mod signals;
 mod statement_ids;
--- a/gateway/src/net/process_replacement/listener_passing.rs
+++ b/gateway/src/net/process_replacement/listener_passing.rs
@@ -1,5 +1,5 @@
 //! The Unix socket at which a process waits for its successor, and passing of listeners over it as file descriptors
-//! (SCM_RIGHTS). The socket is one of the files that the processes of a gateway share.
+//! (SCM_RIGHTS).
 
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -14,6 +14,7 @@
 };
 
 use crate::config::Config;
+use crate::net::shared_files;
 
 /// Maximum number of listeners in one message: one for each front end.
 const MAX_LISTENERS: usize = 2;
@@ -22,15 +23,7 @@
 /// can't be requested then.
 pub(super) fn socket_path(config: &Config) -> Option<PathBuf> {
     config.admin?;
-    gateway_file(config, "sock")
-}
-
-/// The path of a file that the processes of the gateway share. It is in the directory TMPDIR, which the platform must
-/// not share between gateways. Returns `None` if TMPDIR is not set.
-pub fn gateway_file(config: &Config, extension: &str) -> Option<PathBuf> {
-    let directory = std::env::var_os("TMPDIR").filter(|directory| !directory.is_empty())?;
-    let name: String = config.name.chars().filter(|c| c.is_ascii_alphanumeric() || *c == '-').collect();
-    Some(PathBuf::from(directory).join(format!("wrenhatch-{name}.{extension}")))
+    shared_files::path(config, "sock")
 }
 
 /// Listens at the path, replacing an existing socket. The new socket is renamed into place, so that a successor can
--- a/gateway/src/net/process_replacement/mod.rs
+++ b/gateway/src/net/process_replacement/mod.rs
@@ -5,7 +5,6 @@
 mod peers;
 mod state_transfer;
 
-pub use listener_passing::gateway_file;
 pub use peers::PeerProcesses;
 pub use state_transfer::{PredecessorConnection, receive_state};
 
--- a/gateway/src/net/statement_ids.rs
+++ b/gateway/src/net/statement_ids.rs
@@ -9,9 +9,8 @@
 use rustix::fs::{FlockOperation, flock};
 use wrenhatch_sessions::session_table::Handle;
 
-use super::process_replacement::gateway_file;
 use super::sessions::ProtocolSession;
-use super::{NetTimer, Server};
+use super::{NetTimer, Server, shared_files};
 use crate::config::Config;
 use crate::front::mysql::statement_ids::{Ledger, Reservation, StatementIds};
 
@@ -79,7 +78,7 @@
 impl StatementIdSource {
     /// Prepares the ledger, if the MySQL front end is enabled. An error is repeated when an id is needed.
     pub fn new(config: &Config, unix_us: u64) -> Self {
-        let store = match gateway_file(config, "statement-ids") {
+        let store = match shared_files::path(config, "statement-ids") {
             Some(path) => LedgerStore::File(path),
             None => LedgerStore::Memory(None),
         };
