--- a/gateway/src/front/mysql/statement_ids.rs
+++ b/gateway/src/front/mysql/statement_ids.rs
@@ -6,8 +6,8 @@
 //! - Numbers follow the clock, `NUMBERS_PER_SECOND`. A process hands out only numbers that the clock has passed, and
 //!   begins at the number of its start. Thus a process that is started after another has ended begins behind all of the
 //!   other's numbers, without any state of the other.
-//! - Processes that run at the same time reserve disjoint ranges, as recorded in a [`Ledger`] that they share. The
-//!   caller stores it and excludes concurrent reservations.
+//! - Processes that run at the same time reserve disjoint ranges above a [`HighWaterMark`] that they share. The caller
+//!   stores it and excludes concurrent reservations.
 //!
 //! An id is the lower half of its number plus a constant of the gateway. As numbers also expire, at least 2^32 numbers
 //! less `MAX_AGE_NUMBERS`, or 12 days, lie between two uses of an id.
@@ -25,36 +25,36 @@
 const MAX_RESERVATION: u64 = 1024;
 /// MariaDB clients use the highest id for the statement that was prepared last, and some clients use 0 for none.
 const UNUSED_IDS: [u32; 2] = [0, u32::MAX];
-/// Length of an encoded [`Ledger`].
-const LEDGER_BYTES: usize = 20;
+/// Length of an encoded [`HighWaterMark`].
+const ENCODED_BYTES: usize = 20;
 
 /// The first number that no process of the gateway has reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ledger {
+pub struct HighWaterMark {
     first_free: u64,
 }
 
-impl Ledger {
-    /// Encodes the ledger as decimal digits. The length is always the same, so that an encoded ledger overwrites
-    /// another one completely.
+impl HighWaterMark {
+    /// Encodes the high-water mark as decimal digits. The length is always the same, so that one encoded mark overwrites
+    /// another completely.
     pub fn encode(self) -> String {
-        format!("{:0LEDGER_BYTES$}", self.first_free)
+        format!("{:0ENCODED_BYTES$}", self.first_free)
     }
 
-    /// Decodes a ledger. `None` if the text is not an encoded ledger.
+    /// Decodes a high-water mark. `None` if the text is not an encoded high-water mark.
     pub fn decode(text: &[u8]) -> Option<Self> {
-        let is_number = text.len() == LEDGER_BYTES && text.iter().all(u8::is_ascii_digit);
+        let is_number = text.len() == ENCODED_BYTES && text.iter().all(u8::is_ascii_digit);
         let first_free = std::str::from_utf8(text).ok().filter(|_| is_number)?.parse().ok()?;
         // The upper bits must be free for sums.
         (first_free <= u64::MAX / 2).then_some(Self { first_free })
     }
 }
 
-/// A range of numbers to be reserved, and the ledger without them.
+/// A range of numbers to be reserved, and the high-water mark without them.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Reservation {
     /// Must be stored before the numbers are used.
-    pub ledger: Ledger,
+    pub mark: HighWaterMark,
     numbers: Range<u64>,
 }
 
@@ -84,31 +84,32 @@
         numbers as u64 + self.clock_lead
     }
 
-    /// The ledger that must be stored at the start of the process. `stored` is the ledger of processes that may be
+    /// The high-water mark that must be stored at the start of the process. `stored` is that of processes that may be
     /// running.
-    pub fn initial_ledger(&mut self, stored: Option<Ledger>, unix_us: u64) -> Ledger {
+    pub fn initial_high_water_mark(&mut self, stored: Option<HighWaterMark>, unix_us: u64) -> HighWaterMark {
         self.follow(stored, unix_us);
-        Ledger { first_free: self.clock(unix_us) }
+        HighWaterMark { first_free: self.clock(unix_us) }
     }
 
-    /// Moves the clock forward if it is behind the ledger, so that numbers do not run out until it has caught up.
-    fn follow(&mut self, stored: Option<Ledger>, unix_us: u64) {
-        let first_free = stored.map_or(0, |ledger| ledger.first_free);
+    /// Moves the clock forward if it is behind the high-water mark, so that numbers do not run out until it has caught
+    /// up.
+    fn follow(&mut self, stored: Option<HighWaterMark>, unix_us: u64) {
+        let first_free = stored.map_or(0, |mark| mark.first_free);
         self.clock_lead += first_free.saturating_sub(self.clock(unix_us));
     }
 
     /// Chooses the next numbers to reserve. The reservation is empty if the clock has not passed any free number. A
-    /// lost ledger is replaced by the current number, which is behind all numbers in use.
-    pub fn next_reservation(&mut self, stored: Option<Ledger>, unix_us: u64) -> Reservation {
+    /// lost high-water mark is replaced by the current number, which is behind all numbers in use.
+    pub fn next_reservation(&mut self, stored: Option<HighWaterMark>, unix_us: u64) -> Reservation {
         self.follow(stored, unix_us);
         let clock = self.clock(unix_us);
-        let first_free = stored.map_or(clock, |ledger| ledger.first_free);
+        let first_free = stored.map_or(clock, |mark| mark.first_free);
         let start = first_free.max(clock.saturating_sub(MAX_AGE_NUMBERS));
         let end = clock.min(start + MAX_RESERVATION);
-        Reservation { ledger: Ledger { first_free: end }, numbers: start..end }
+        Reservation { mark: HighWaterMark { first_free: end }, numbers: start..end }
     }
 
-    /// Adds reserved numbers, after the ledger was stored. Numbers that were reserved earlier are dropped.
+    /// Adds reserved numbers, after the high-water mark was stored. Numbers that were reserved earlier are dropped.
     pub fn add(&mut self, reservation: Reservation) {
         self.reserved = reservation.numbers;
     }
--- a/gateway/src/net/statement_ids.rs
+++ b/gateway/src/net/statement_ids.rs
@@ -1,5 +1,5 @@
-//! Statement ids for the MySQL front end: the ledger that the processes of a gateway share in a file, and the sessions
-//! that wait for an id.
+//! Statement ids for the MySQL front end: the high-water mark that the processes of a gateway share in a file, and the
+//! sessions that wait for an id.
 
 use std::collections::VecDeque;
 use std::fs::{File, OpenOptions};
@@ -12,36 +12,39 @@
 use super::sessions::ProtocolSession;
 use super::{NetTimer, Server, shared_files};
 use crate::config::Config;
-use crate::front::mysql::statement_ids::{Ledger, Reservation, StatementIds};
+use crate::front::mysql::statement_ids::{HighWaterMark, Reservation, StatementIds};
 
 /// Time until the clock has passed more numbers, or until another process has released the lock.
 const RETRY_US: u64 = 1000;
-/// Limit on what is read of the file. A longer file is not an encoded ledger.
+/// Limit on what is read of the file. A longer file is not an encoded high-water mark.
 const MAX_FILE_BYTES: u64 = 64;
 
-/// Where the ledger is stored.
+/// Where the high-water mark is stored.
 #[derive(Debug)]
-enum LedgerStore {
+enum HighWaterMarkStore {
     /// A file that is locked during each reservation.
     File(PathBuf),
     /// Without a directory that processes share, there is no replacement and no other process.
-    Memory(Option<Ledger>),
+    Memory(Option<HighWaterMark>),
 }
 
-impl LedgerStore {
-    /// Replaces the stored ledger by `update`'s result, which is returned. `None` if another process has locked the
-    /// ledger.
+impl HighWaterMarkStore {
+    /// Replaces the stored high-water mark by that of `update`, whose other result is returned. `None` if another
+    /// process has locked the file.
     ///
     /// # Errors
-    /// Opening, locking, reading or writing the file failed. The stored ledger may be incomplete.
-    fn update<T>(&mut self, update: impl FnOnce(Option<Ledger>) -> (Ledger, T)) -> io::Result<Option<T>> {
+    /// Opening, locking, reading or writing the file failed. The stored high-water mark may be incomplete.
+    fn update<T>(
+        &mut self,
+        update: impl FnOnce(Option<HighWaterMark>) -> (HighWaterMark, T),
+    ) -> io::Result<Option<T>> {
         match self {
-            LedgerStore::Memory(stored) => {
-                let (ledger, result) = update(*stored);
-                *stored = Some(ledger);
+            HighWaterMarkStore::Memory(stored) => {
+                let (mark, result) = update(*stored);
+                *stored = Some(mark);
                 Ok(Some(result))
             }
-            LedgerStore::File(path) => {
+            HighWaterMarkStore::File(path) => {
                 let mut file =
                     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
                 // Closing the file releases the lock.
@@ -49,26 +52,26 @@
                     Err(rustix::io::Errno::WOULDBLOCK) => return Ok(None),
                     other => other?,
                 }
-                let (ledger, result) = update(read_ledger(&mut file)?);
+                let (mark, result) = update(read_high_water_mark(&mut file)?);
                 file.rewind()?;
-                file.write_all(ledger.encode().as_bytes())?;
+                file.write_all(mark.encode().as_bytes())?;
                 Ok(Some(result))
             }
         }
     }
 }
 
-fn read_ledger(file: &mut File) -> io::Result<Option<Ledger>> {
+fn read_high_water_mark(file: &mut File) -> io::Result<Option<HighWaterMark>> {
     let mut text = Vec::new();
     file.take(MAX_FILE_BYTES).read_to_end(&mut text)?;
-    Ok(Ledger::decode(&text))
+    Ok(HighWaterMark::decode(&text))
 }
 
 /// The statement ids of this process, and the sessions that wait for one.
 pub struct StatementIdSource {
     ids: StatementIds,
-    store: LedgerStore,
-    /// The last access to the ledger failed.
+    store: HighWaterMarkStore,
+    /// The last access to the high-water mark failed.
     has_failed: bool,
     waiting: VecDeque<Handle>,
     /// The timer for the waiting sessions is armed.
@@ -76,11 +79,11 @@
 }
 
 impl StatementIdSource {
-    /// Prepares the ledger, if the MySQL front end is enabled. An error is repeated when an id is needed.
+    /// Prepares the high-water mark, if the MySQL front end is enabled. An error is repeated when an id is needed.
     pub fn new(config: &Config, unix_us: u64) -> Self {
         let store = match shared_files::path(config, "statement-ids") {
-            Some(path) => LedgerStore::File(path),
-            None => LedgerStore::Memory(None),
+            Some(path) => HighWaterMarkStore::File(path),
+            None => HighWaterMarkStore::Memory(None),
         };
         let mut source = Self {
             ids: StatementIds::new(&config.name),
@@ -92,12 +95,12 @@
         if config.mysql.is_some() {
             let ids = &mut source.ids;
             let initial = source.store.update(|stored| {
-                let ledger = ids.initial_ledger(stored, unix_us);
-                (ledger, (stored, ledger))
+                let mark = ids.initial_high_water_mark(stored, unix_us);
+                (mark, (stored, mark))
             });
             source.log_access(&initial);
-            if let Ok(Some((stored, ledger))) = initial {
-                tracing::debug!(?stored, ?ledger, "statement ids initialized");
+            if let Ok(Some((stored, mark))) = initial {
+                tracing::debug!(?stored, ?mark, "statement ids initialized");
             }
         }
         source
@@ -111,7 +114,7 @@
     /// The next statement id. `None` if none is available at this time.
     ///
     /// # Errors
-    /// The ledger can't be read or written, so that another process may hand out the same ids.
+    /// The high-water mark can't be read or written, so that another process may hand out the same ids.
     fn next(&mut self, unix_us: u64) -> io::Result<Option<u32>> {
         if let Some(id) = self.ids.take(unix_us) {
             return Ok(Some(id));
@@ -119,7 +122,7 @@
         let ids = &mut self.ids;
         let reservation = self.store.update(|stored| {
             let reservation = ids.next_reservation(stored, unix_us);
-            (reservation.ledger, reservation)
+            (reservation.mark, reservation)
         });
         self.log_access(&reservation);
         Ok(reservation?.and_then(|reservation: Reservation| {
