--- a/gateway/src/front/mysql/statement_ids.rs
+++ b/gateway/src/front/mysql/statement_ids.rs
@@ -35,8 +35,8 @@
 }
 
 impl HighWaterMark {
-    /// Encodes the high-water mark as decimal digits. The length is always the same, so that one encoded mark overwrites
-    /// another completely.
+    /// Encodes the high-water mark as decimal digits. The length is always the same, so that an encoded mark overwrites
+    /// another one completely.
     pub fn encode(self) -> String {
         format!("{:0ENCODED_BYTES$}", self.first_free)
     }
--- a/gateway/src/front/mysql/statement_ids/tests.rs
+++ b/gateway/src/front/mysql/statement_ids/tests.rs
@@ -5,6 +5,8 @@
 /// A start time within the lifetime of the project, in Unix microseconds.
 const START_US: u64 = 1_800_000_000_000_000;
 const SECOND_US: u64 = 1_000_000;
+/// More ids than the clock passes between two steps of a test.
+const MAX_DRAINED: usize = 500_000;
 
 /// A process that reserves numbers in a high-water mark which it may share.
 struct Process(StatementIds);
@@ -27,7 +29,9 @@
 
     /// Takes all ids that are available.
     fn drain(&mut self, mark: &mut Option<HighWaterMark>, now_us: u64) -> Vec<u32> {
-        std::iter::from_fn(|| self.take(mark, now_us)).collect()
+        let ids: Vec<u32> = std::iter::from_fn(|| self.take(mark, now_us)).take(MAX_DRAINED).collect();
+        assert!(ids.len() < MAX_DRAINED, "ids must run out");
+        ids
     }
 }
 
