Put back reasons that the wording of the code had dropped

Back are: why the controllers' terms are computed before an attempt's latency counts, why a small share bounds no utilization, what else happens while an attempt stalls, the stall of 370 ms behind two time limits, why a lost attempt's end is confirmed, why no connection is opened for a priority, what is no sign of life on a stream, what null members mean, and where the rest of a list comes from. Not put back: the reason for the largest estimate, as it isn't true (1e9 ms are 12 days on one core, not a month).

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -24,7 +24,8 @@
 use error::AdapterError;
 
 fn main() -> ExitCode {
-    // A panic of a workload manager is reported on the wire. Standard error gets a short message only.
+    // A panic of a workload manager is reported on the wire, and the default report would only repeat it. Standard
+    // error gets a short message.
     std::panic::set_hook(Box::new(|info| eprintln!("simulator-adapter: {info}")));
     match run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
--- a/configuration/src/document.rs
+++ b/configuration/src/document.rs
@@ -24,7 +24,7 @@
     ReservedMember,
 }
 
-/// The settings of a gateway: a JSON object without null members.
+/// The settings of a gateway: a JSON object without null members, which would mean the same as absent ones.
 ///
 /// Clones share the JSON value.
 #[derive(Clone, PartialEq)]
--- a/gateway/src/config/config_file.rs
+++ b/gateway/src/config/config_file.rs
@@ -53,7 +53,8 @@
 }
 
 /// Reads the events of the endpoint list up to the first one that can't be read. Such an event does not prevent the
-/// start, because a gateway with an incomplete list can still serve clients.
+/// start, because a gateway with an incomplete list can still serve clients. The discovery service is requested to send
+/// the rest.
 fn read_known_list(known: &JsonField<'_>) -> Result<KnownList, ConfigError> {
     let mut events: Vec<EndpointListEvent> = Vec::new();
     for event in known.get("updates").elements()? {
--- a/gateway/src/core/attempts.rs
+++ b/gateway/src/core/attempts.rs
@@ -168,7 +168,7 @@
     }
 
     /// Ends an attempt whose engine has stopped responding and may still run it. A retry could run at the same time, so
-    /// the request gets its final answer.
+    /// the request gets its final answer. The client may send it again where a retry is safe.
     pub(super) fn on_attempt_lost(
         &mut self,
         now_us: u64,
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -366,7 +366,8 @@
                 }
             }
         }
-        // All deadlines have passed after the last step, so no request may be open.
+        // All deadlines have passed after the last step, so no request may be open. Within a long step the clock shows
+        // only its end, so that an answer that is late shows as a request that is still open.
         fixture.core.open_request_count() == 0 && deadlines.keys().all(|id| answers.contains_key(id) != left.contains(id)
             || left.contains(id))
     }
--- a/gateway/src/discovery/stream.rs
+++ b/gateway/src/discovery/stream.rs
@@ -43,7 +43,8 @@
         Self(EventStream::new((memory_bytes / MEMORY_DIVISOR).max(MIN_ENDPOINTS * MAX_ENDPOINT_BYTES)))
     }
 
-    /// Number of whole lines read so far. The response head counts as one.
+    /// Number of whole lines read so far. The response head counts as one. Bytes without an end of line are no sign
+    /// that the stream is alive.
     pub fn line_count(&self) -> u64 {
         self.0.line_count()
     }
--- a/gateway/src/event_stream.rs
+++ b/gateway/src/event_stream.rs
@@ -39,7 +39,8 @@
         }
     }
 
-    /// Number of whole lines read so far. The response head counts as one.
+    /// Number of whole lines read so far. The response head counts as one. Bytes without an end of line are no sign
+    /// that the stream is alive.
     pub fn line_count(&self) -> u64 {
         self.lines
     }
--- a/gateway/src/front/fields.rs
+++ b/gateway/src/front/fields.rs
@@ -93,7 +93,7 @@
     NoStatement,
 }
 
-/// One day.
+/// One day, in milliseconds. No client waits for longer.
 const MAX_WAIT_MS: f64 = 86_400_000.0;
 /// Upper bound of an estimate, in milliseconds on one core or in MB.
 const MAX_ESTIMATE: f64 = 1e9;
--- a/gateway/src/net/engines/calls.rs
+++ b/gateway/src/net/engines/calls.rs
@@ -105,7 +105,7 @@
         if !attempt.is_http_started() {
             return;
         }
-        // A connection is not opened for a change of priority.
+        // A connection is not opened for a change of priority, as it would cost more than the change gains.
         let engine = self.pools.engines.get_mut(&attempt.engine);
         let Some(slot) = engine.and_then(|e| e.idle.of(super::EngineProtocol::Http).pop()) else {
             return;
--- a/gateway/src/net/engines/cancellation.rs
+++ b/gateway/src/net/engines/cancellation.rs
@@ -8,8 +8,8 @@
 use crate::core::Input;
 use crate::net::{NetTimer, Server};
 
-/// Time limit for the confirmation of a cancellation, in microseconds. Longer than a running engine may stall. The
-/// state of an attempt without a confirmation is unknown.
+/// Time limit for the confirmation of a cancellation, in microseconds. Running engines stall for up to 370 ms. An
+/// engine that is silent for longer may be gone, and the state of an attempt without a confirmation is unknown.
 pub(super) const CANCEL_TIMEOUT_US: u64 = 500_000;
 
 impl Server {
--- a/gateway/src/net/engines/confirmation.rs
+++ b/gateway/src/net/engines/confirmation.rs
@@ -27,13 +27,15 @@
 }
 
 impl LostAttempt {
+    /// `dropped_by_us` follows from the time of the last call: an engine drops a query that gets no calls.
     pub fn new(engine: EngineId, query_id: String, dropped_by_us: u64) -> Self {
         Self { engine, query_id, dropped_by_us }
     }
 }
 
 impl Server {
-    /// Begins to confirm the end of a lost attempt.
+    /// Begins to confirm the end of a lost attempt, for which other requests of its order key wait: its engine is
+    /// called to cancel the query.
     pub(super) fn begin_confirmation(&mut self, id: AttemptId, attempt: LostAttempt) {
         self.requests.retain_query_id(&attempt.query_id);
         self.pools.unconfirmed.insert(id, attempt);
--- a/src/decisions/load_estimate.rs
+++ b/src/decisions/load_estimate.rs
@@ -30,6 +30,7 @@
 /// Time constant of the decay of an estimate.
 const DECAY_SECONDS: f64 = 2.0;
 /// Smallest share of an engine, in cores, at which this gateway's own threads bound the engine's utilization.
+/// The few threads of a smaller share say nothing about the load of the others.
 const MIN_MEASURABLE_SHARE_CORES: f64 = 2.0;
 
 /// Estimates over all engines.
--- a/src/decisions/outcome.rs
+++ b/src/decisions/outcome.rs
@@ -56,6 +56,7 @@
     /// Removes the attempt from all sums and records its outcome.
     pub(super) fn record_outcome(&mut self, now: f64, attempt: &Attempt, end: &AttemptEnd) {
         self.record_time_for_work(now, attempt, end);
+        // Computed first: the interval that this attempt may end is judged by the terms before its latency.
         let terms = self.controller_terms();
         self.remove_from_sums(attempt, end);
         self.record_latency_and_cost(now, attempt, end);
--- a/src/decisions/supervision.rs
+++ b/src/decisions/supervision.rs
@@ -147,7 +147,7 @@
     }
 }
 
-/// Moving average of the ratio of attempts at an engine that stalled.
+/// Moving average of the ratio of attempts at an engine that stalled while the engine answered others.
 #[derive(Clone, Copy, Default)]
 pub(super) struct StalledRatio(TimedValue);
 
