--- a/gateway/src/net/engines/connection_events.rs
+++ b/gateway/src/net/engines/connection_events.rs
@@ -10,8 +10,9 @@
 use crate::net::pools::{EngineConnection, Pools};
 use crate::net::{NetTimer, Server};
 
-/// Time limit for the response to a call of an attempt over HTTP, in microseconds. Engines answer a call within 250
-/// ms, and running ones stall for up to 370 ms. After the limit the response is requested again over another connection, as the query may still be running.
+/// Time limit for the response to a call of an attempt over HTTP, in microseconds. Engines answer a call within 250 ms,
+/// and running ones stall for up to 370 ms. After the limit the response is requested again over another connection, as
+/// the query may still be running.
 const RESPONSE_TIMEOUT_US: u64 = 500_000;
 
 /// Time limit for a response that is no longer needed, in microseconds. The connection can be reused once the response
