Don't let a statement without an id delay the end of the process

Cause: since statements can wait for an id, the graceful shutdown counted them like open requests. While another process held the lock of the reserved ids, for one that is stopped in that moment, the process did not end and would have been killed. Found by reading. The wait for ids now ends with the time for answers, like that for clients that do not read. The test (a_statement_without_an_id_does_not_delay_the_end_of_the_process) failed before, with the process still running after 60 s, and passes with the change.

--- a/gateway/src/net/shutdown.rs
+++ b/gateway/src/net/shutdown.rs
@@ -115,13 +115,12 @@
         if must_answer && !std::mem::replace(&mut self.shutdown.has_requested_answers, true) {
             self.inputs.push(Input::ShuttingDown);
         }
-        let answers_pending = !self.requests.open.is_empty()
-            || !self.inputs.is_empty()
-            || self.statement_ids.is_awaited()
-            || self.admin.is_answering();
-        let writes_pending =
-            self.sessions.is_writing() && !must_answer && self.shutdown.linger_start_us.is_none();
-        if answers_pending || writes_pending {
+        let answers_pending =
+            !self.requests.open.is_empty() || !self.inputs.is_empty() || self.admin.is_answering();
+        // Neither clients that do not read nor a peer that does not release the statement ids delay the exit.
+        let has_waiting_clients = self.sessions.is_writing() || self.statement_ids.is_awaited();
+        let clients_pending = has_waiting_clients && !must_answer && self.shutdown.linger_start_us.is_none();
+        if answers_pending || clients_pending {
             return false;
         }
         self.linger()
--- a/gateway/tests/common/gateway.rs
+++ b/gateway/tests/common/gateway.rs
@@ -363,6 +363,18 @@
         self.wait()
     }
 
+    /// Waits for the exit for a limited time. Returns the exit code, or `None` after a signal.
+    pub fn wait_within(mut self, limit: Duration) -> Option<i32> {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(began.elapsed() < limit, "the process has not ended:\n{}", self.log());
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Waits for the exit. Returns the exit code, or `None` after a signal, and the log.
     pub fn wait(mut self) -> (Option<i32>, String) {
         let code = self.child.wait().unwrap().code();
--- a/gateway/tests/statement_ids.rs
+++ b/gateway/tests/statement_ids.rs
@@ -169,3 +169,17 @@
     assert_eq!(client.answer(false), mysql::Answer::Done);
     assert_eq!(gateway.end().0, Some(0));
 }
+
+/// A process that waits for its peer's reservation must end before it is killed.
+#[test]
+fn a_statement_without_an_id_does_not_delay_the_end_of_the_process() {
+    let engine = Engine::start("e1", &Recorder::default(), 1);
+    let gateway = Gateway::start_with_mysql_and_admin(&[&engine]);
+    let file = std::fs::File::open(gateway.statement_id_file()).unwrap();
+    flock(&file, FlockOperation::LockExclusive).unwrap();
+    let mut client = mysql::Client::connect(gateway.mysql());
+    client.send_prepare(LOOKUP);
+    assert!(!client.has_response(Duration::from_millis(50)));
+    gateway.terminate();
+    assert_eq!(gateway.wait_within(Duration::from_secs(60)), Some(0));
+}
