--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -5,8 +5,8 @@
 //! need no decision. [`Session::answer`] writes the response to the open request. No command is read while a request is
 //! open.
 //!
-//! Prepared statements belong to the client's session, and the gateway assigns their ids ([`statement_ids`]). An engine prepares a
-//! statement when it is first executed over one of its connections.
+//! Prepared statements belong to the client's session, and the gateway assigns their ids ([`statement_ids`]). An engine
+//! prepares a statement when it is first executed over one of its connections.
 
 use std::rc::Rc;
 
--- a/gateway/src/front/mysql/statement_ids.rs
+++ b/gateway/src/front/mysql/statement_ids.rs
@@ -72,7 +72,7 @@
     /// Creates an allocator without reserved numbers. The processes of a gateway must use the same name.
     pub fn new(gateway_name: &str) -> Self {
         let digest = Sha1::digest(gateway_name);
-        let offset = digest.iter().take(size_of::<u32>()).fold(0, |bits, byte| bits << 8 | u32::from(*byte));
+        let offset = u32::from_be_bytes([digest[0], digest[1], digest[2], digest[3]]);
         Self { offset, clock_lead: 0, reserved: 0..0 }
     }
 
@@ -84,11 +84,11 @@
         numbers as u64 + self.clock_lead
     }
 
-    /// The high-water mark that must be stored at the start of the process. `stored` is that of processes that may be
-    /// running.
-    pub fn initial_high_water_mark(&mut self, stored: Option<HighWaterMark>, unix_us: u64) -> HighWaterMark {
+    /// The empty reservation of a process that starts, so that its numbers begin at the present. `stored` is the
+    /// high-water mark of processes that may be running.
+    pub fn initial_reservation(&mut self, stored: Option<HighWaterMark>, unix_us: u64) -> Reservation {
         self.follow(stored, unix_us);
-        HighWaterMark { first_free: self.clock(unix_us) }
+        self.next_reservation(None, unix_us)
     }
 
     /// Moves the clock forward if it is behind the high-water mark, so that numbers do not run out until it has caught
--- a/gateway/src/front/mysql/statement_ids/tests.rs
+++ b/gateway/src/front/mysql/statement_ids/tests.rs
@@ -14,7 +14,7 @@
 impl Process {
     fn start(mark: &mut Option<HighWaterMark>, now_us: u64) -> Self {
         let mut ids = StatementIds::new("n0");
-        *mark = Some(ids.initial_high_water_mark(*mark, now_us));
+        *mark = Some(ids.initial_reservation(*mark, now_us).mark);
         Self(ids)
     }
 
--- a/gateway/src/net/sessions/protocol.rs
+++ b/gateway/src/net/sessions/protocol.rs
@@ -52,7 +52,7 @@
         delegate!(self, answer, answer, output)
     }
 
-    /// Whether a statement is being prepared, which waits for an id if it is after the turn's reads.
+    /// Whether a statement is being prepared. Between two turns, it waits for an id.
     pub fn is_preparing(&self) -> bool {
         match self {
             ProtocolSession::Pg(_) => false,
--- a/gateway/src/net/shared_files.rs
+++ b/gateway/src/net/shared_files.rs
@@ -1,5 +1,5 @@
-//! Paths of files that the processes of a gateway share. They are in the directory TMPDIR, which the platform keeps during
-//! a process replacement and must not share between gateways.
+//! Paths of files that the processes of a gateway share. They are in the directory TMPDIR, which the platform keeps
+//! during a process replacement and must not share between gateways.
 
 use std::path::PathBuf;
 
--- a/gateway/src/net/statement_ids.rs
+++ b/gateway/src/net/statement_ids.rs
@@ -29,20 +29,19 @@
 }
 
 impl HighWaterMarkStore {
-    /// Replaces the stored high-water mark by that of `update`, whose other result is returned. `None` if another
-    /// process has locked the file.
+    /// Makes a reservation and stores its high-water mark. `None` if another process has locked the file.
     ///
     /// # Errors
     /// Opening, locking, reading or writing the file failed. The stored high-water mark may be incomplete.
-    fn update<T>(
+    fn update(
         &mut self,
-        update: impl FnOnce(Option<HighWaterMark>) -> (HighWaterMark, T),
-    ) -> io::Result<Option<T>> {
+        reserve: impl FnOnce(Option<HighWaterMark>) -> Reservation,
+    ) -> io::Result<Option<Reservation>> {
         match self {
             HighWaterMarkStore::Memory(stored) => {
-                let (mark, result) = update(*stored);
-                *stored = Some(mark);
-                Ok(Some(result))
+                let reservation = reserve(*stored);
+                *stored = Some(reservation.mark);
+                Ok(Some(reservation))
             }
             HighWaterMarkStore::File(path) => {
                 let mut file =
@@ -52,10 +51,10 @@
                     Err(rustix::io::Errno::WOULDBLOCK) => return Ok(None),
                     other => other?,
                 }
-                let (mark, result) = update(read_high_water_mark(&mut file)?);
+                let reservation = reserve(read_high_water_mark(&mut file)?);
                 file.rewind()?;
-                file.write_all(mark.encode().as_bytes())?;
-                Ok(Some(result))
+                file.write_all(reservation.mark.encode().as_bytes())?;
+                Ok(Some(reservation))
             }
         }
     }
@@ -93,15 +92,8 @@
             is_timer_armed: false,
         };
         if config.mysql.is_some() {
-            let ids = &mut source.ids;
-            let initial = source.store.update(|stored| {
-                let mark = ids.initial_high_water_mark(stored, unix_us);
-                (mark, (stored, mark))
-            });
-            source.log_access(&initial);
-            if let Ok(Some((stored, mark))) = initial {
-                tracing::debug!(?stored, ?mark, "statement ids initialized");
-            }
+            // An error is logged, and repeated by the first reservation.
+            let _ = source.reserve(|ids, stored| ids.initial_reservation(stored, unix_us));
         }
         source
     }
@@ -119,26 +111,31 @@
         if let Some(id) = self.ids.take(unix_us) {
             return Ok(Some(id));
         }
+        self.reserve(|ids, stored| ids.next_reservation(stored, unix_us))?;
+        Ok(self.ids.take(unix_us))
+    }
+
+    /// Adds the numbers of a reservation, unless another process has locked the high-water mark. Logs the first of
+    /// several errors in a row.
+    fn reserve(
+        &mut self,
+        choose: impl FnOnce(&mut StatementIds, Option<HighWaterMark>) -> Reservation,
+    ) -> io::Result<()> {
         let ids = &mut self.ids;
-        let reservation = self.store.update(|stored| {
-            let reservation = ids.next_reservation(stored, unix_us);
-            (reservation.mark, reservation)
+        let result = self.store.update(|stored| {
+            let reservation = choose(ids, stored);
+            tracing::debug!(?stored, ?reservation, "statement ids reserved");
+            reservation
         });
-        self.log_access(&reservation);
-        Ok(reservation?.and_then(|reservation: Reservation| {
-            tracing::debug!(?reservation, "statement ids reserved");
+        let had_failed = std::mem::replace(&mut self.has_failed, result.is_err());
+        if let (Err(error), false) = (&result, had_failed) {
+            let store = &self.store;
+            tracing::error!(%error, ?store, "no statement can be prepared: no access to the statement ids");
+        }
+        if let Some(reservation) = result? {
             self.ids.add(reservation);
-            self.ids.take(unix_us)
-        }))
-    }
-
-    /// Logs the first of several errors in a row.
-    fn log_access<T>(&mut self, result: &io::Result<T>) {
-        let has_failed = result.is_err();
-        if let (Err(error), false) = (result, self.has_failed) {
-            tracing::error!(%error, store = ?self.store, "no statement can be prepared: no access to the statement ids");
         }
-        self.has_failed = has_failed;
+        Ok(())
     }
 }
 
@@ -198,7 +195,6 @@
                 Err(_) => mysql.fail_prepare("No id is available for the statement", output),
             }
         }
-        self.sessions.mark_dirty(handle);
         true
     }
 }
--- a/gateway/tests/common/mysql.rs
+++ b/gateway/tests/common/mysql.rs
@@ -49,6 +49,13 @@
     Error(u16, String, String),
 }
 
+impl Answer {
+    /// Whether the request was rejected, so that a retry is safe.
+    pub fn is_rejection(&self) -> bool {
+        matches!(self, Answer::Error(1041, state, _) if state == "53000")
+    }
+}
+
 pub struct Client {
     stream: TcpStream,
 }
--- a/gateway/tests/common/requests.rs
+++ b/gateway/tests/common/requests.rs
@@ -1,4 +1,8 @@
-//! Helpers for requests with numeric ids: waiting for their log lines and checking their answers.
+//! Helpers for requests: retries of rejected ones, and for those with numeric ids waiting for their log lines and
+//! checking their answers.
+
+use std::thread;
+use std::time::Duration;
 
 use super::{Gateway, pg};
 
@@ -7,6 +11,18 @@
     format!("{n:016x}")
 }
 
+/// Sends a request until it is not rejected. A rejected request is safe to retry.
+pub fn until_served<A>(mut send: impl FnMut() -> A, is_rejection: impl Fn(&A) -> bool) -> A {
+    for _ in 0..40 {
+        let answer = send();
+        if !is_rejection(&answer) {
+            return answer;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    panic!("the request was rejected 40 times");
+}
+
 /// Waits until the gateway has admitted request `n`.
 pub fn wait_admitted(gateway: &Gateway, n: u64) {
     gateway.wait_for_log(&format!("request admitted query_id=\"{}\"", id(n)));
--- a/gateway/tests/fronts.rs
+++ b/gateway/tests/fronts.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::requests::error_code;
+use common::requests::{error_code, until_served};
 use common::{DiscoveryService, Engine, Gateway, Recorder, ResponseFault, mysql, pg};
 
 const ID: &str = "9b1f03aa5c7e2d41";
@@ -14,22 +14,6 @@
     format!("/* c={class},i={id},d={timeout_ms},t=acme,h=20.0,mem=96 */ SELECT v FROM sales_17.orders")
 }
 
-/// Sends a request until it is not rejected. A rejected request is safe to retry.
-fn until_served<A>(mut send: impl FnMut() -> A, is_rejection: impl Fn(&A) -> bool) -> A {
-    for _ in 0..40 {
-        let answer = send();
-        if !is_rejection(&answer) {
-            return answer;
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
-    panic!("the request was rejected 40 times");
-}
-
-fn mysql_rejected(a: &mysql::Answer) -> bool {
-    matches!(a, mysql::Answer::Error(1041, state, _) if state == "53000")
-}
-
 fn pg_rejected(a: &pg::Answer) -> bool {
     matches!(a, pg::Answer::Error(code, _) if code.starts_with("53"))
 }
@@ -519,10 +503,11 @@
     );
     assert!(began.elapsed() < Duration::from_secs(2), "the request's own deadline must apply");
     let answer = client.query("/* c=lookup,d=300 */ SELECT 1", &[]);
-    assert!(mysql_rejected(&answer), "a lookup is safe to retry: {answer:?}");
+    assert!(answer.is_rejection(), "a lookup is safe to retry: {answer:?}");
     engine.set_work_ms(1);
     let fails = "/* c=load */ INSERT fail";
-    let answer = until_served(|| client.query(fails, &[("i", "00000000000000ff")]), mysql_rejected);
+    let answer =
+        until_served(|| client.query(fails, &[("i", "00000000000000ff")]), mysql::Answer::is_rejection);
     assert!(matches!(answer, mysql::Answer::Error(1105, ..)), "{answer:?}");
     assert_eq!(recorder.engines_of("00000000000000ff").len(), 1, "a failed load was sent again");
     assert_eq!(recorder.engines_of(ID).len(), 1);
@@ -561,10 +546,10 @@
     let mysql::Answer::Rows(rows) = client.execute(lookup, &["1"], &[]) else { panic!("expected rows") };
     let (crashed, surviving) = if rows[0] == "e1" { (&one, &two) } else { (&two, &one) };
     crashed.kill();
-    let answer = until_served(|| client.execute(lookup, &["2"], &[]), mysql_rejected);
+    let answer = until_served(|| client.execute(lookup, &["2"], &[]), mysql::Answer::is_rejection);
     assert_eq!(answer, mysql::Answer::Rows(vec![surviving.name.clone(), "2".to_owned()]));
     // The load was not sent to the crashed engine, so the other engine may run it. It runs once.
-    let answer = until_served(|| client.execute(load, &["3"], &[("i", ID)]), mysql_rejected);
+    let answer = until_served(|| client.execute(load, &["3"], &[("i", ID)]), mysql::Answer::is_rejection);
     assert_eq!(answer, mysql::Answer::Done);
     assert_eq!(recorder.engines_of(ID), [surviving.name.as_str()]);
     // The engine crashes while it runs the load. The load may have run, so it fails without a retry.
@@ -595,7 +580,7 @@
     let (lookup, _) = client.prepare("/* c=lookup,h=20 */ SELECT v FROM a_1.b WHERE c = ?").unwrap();
     let request = thread::spawn(move || client.execute(lookup, &["1"], &[("i", ID)]));
     engine_of(&recorder, ID, &engines).close_connections();
-    assert!(mysql_rejected(&request.join().unwrap()), "the client must be allowed to retry");
+    assert!(request.join().unwrap().is_rejection(), "the client must be allowed to retry");
     assert_eq!(recorder.engines_of(ID).len(), 1, "a statement that may still run was sent again");
 }
 
@@ -624,7 +609,7 @@
                         (Some((lookup, insert)), Some(mysql)) => {
                             let handle = if load { insert } else { lookup };
                             let a = mysql.execute(handle, &["1"], &[("i", &id), ("d", "3000")]);
-                            (matches!(a, mysql::Answer::Rows(_) | mysql::Answer::Done), mysql_rejected(&a))
+                            (matches!(a, mysql::Answer::Rows(_) | mysql::Answer::Done), a.is_rejection())
                         }
                         _ => {
                             let a = pg.query(&text(if load { "load" } else { "lookup" }, &id, 3000));
--- a/gateway/tests/statement_ids.rs
+++ b/gateway/tests/statement_ids.rs
@@ -4,8 +4,10 @@
 mod common;
 
 use std::collections::BTreeSet;
-use std::time::{Duration, Instant};
+use std::fs::File;
+use std::time::Duration;
 
+use common::requests::until_served;
 use common::{Engine, Gateway, Recorder, mysql};
 use rustix::fs::{FlockOperation, flock};
 
@@ -48,14 +50,20 @@
 
 /// Executes a statement until it is not rejected.
 fn execute(client: &mut mysql::Client, statement_id: u32) -> mysql::Answer {
-    let began = Instant::now();
-    loop {
-        let answer = client.execute(statement_id, &[], &[("d", "3000")]);
-        let is_rejected = matches!(&answer, mysql::Answer::Error(1041, ..));
-        if !is_rejected || began.elapsed() > Duration::from_secs(30) {
-            return answer;
-        }
-    }
+    until_served(|| client.execute(statement_id, &[], &[("d", "3000")]), mysql::Answer::is_rejection)
+}
+
+/// Starts a gateway and locks its file of reserved statement ids, as another process does. Returns the gateway, the
+/// file, and a client that waits for a statement to be prepared.
+fn gateway_with_locked_ids() -> (Gateway, File, mysql::Client) {
+    let engine = Engine::start("e1", &Recorder::default(), 1);
+    let gateway = Gateway::start_with_mysql_and_admin(&[&engine]);
+    let file = File::open(gateway.statement_id_file()).unwrap();
+    flock(&file, FlockOperation::LockExclusive).unwrap();
+    let mut client = mysql::Client::connect(gateway.mysql());
+    client.send_prepare(LOOKUP);
+    assert!(!client.has_response(Duration::from_millis(50)), "the statement must wait for the lock");
+    (gateway, file, client)
 }
 
 fn assert_unknown(answer: mysql::Answer) {
@@ -155,14 +163,9 @@
 /// A reservation by another process must neither be overlooked nor block the event loop.
 #[test]
 fn a_statement_waits_while_another_process_reserves_ids() {
-    let engine = Engine::start("e1", &Recorder::default(), 1);
-    let gateway = Gateway::start_with_mysql_and_admin(&[&engine]);
-    let file = std::fs::File::open(gateway.statement_id_file()).unwrap();
-    flock(&file, FlockOperation::LockExclusive).unwrap();
-    let mut client = mysql::Client::connect(gateway.mysql());
-    client.send_prepare(LOOKUP);
+    let (gateway, file, mut client) = gateway_with_locked_ids();
     client.command(0x0e, &[]);
-    assert!(!client.has_response(Duration::from_millis(50)));
+    assert!(!client.has_response(Duration::from_millis(50)), "the ping must wait for the statement");
     assert_eq!(mysql::Client::connect(gateway.mysql()).ping(), mysql::Answer::Done);
     drop(file);
     client.read_prepared().unwrap();
@@ -173,13 +176,7 @@
 /// A process that waits for its peer's reservation must end before it is killed.
 #[test]
 fn a_statement_without_an_id_does_not_delay_the_end_of_the_process() {
-    let engine = Engine::start("e1", &Recorder::default(), 1);
-    let gateway = Gateway::start_with_mysql_and_admin(&[&engine]);
-    let file = std::fs::File::open(gateway.statement_id_file()).unwrap();
-    flock(&file, FlockOperation::LockExclusive).unwrap();
-    let mut client = mysql::Client::connect(gateway.mysql());
-    client.send_prepare(LOOKUP);
-    assert!(!client.has_response(Duration::from_millis(50)));
+    let (gateway, _file, _client) = gateway_with_locked_ids();
     gateway.terminate();
     assert_eq!(gateway.wait_within(Duration::from_secs(60)), Some(0));
 }
