Prepare nothing in a MySQL session that is closed with an error

With the id, COM_STMT_PREPARE_OK would have followed the error that ends the session. Found by reading the change again; not seen on a connection. Change: the error that closes a session drops the statement that is being prepared.

--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -195,6 +195,7 @@
     fn fatal(&mut self, code: u16, sqlstate: &str, message: &str, out: &mut Vec<u8>) -> ClientCommand {
         self.write_error(&SqlError::new(code, sqlstate, message), out);
         self.state = State::Closed;
+        self.pending = None;
         ClientCommand::Close
     }
 
--- a/gateway/src/front/mysql/tests.rs
+++ b/gateway/src/front/mysql/tests.rs
@@ -94,6 +94,17 @@
     assert_eq!(request.fields.tenant.as_deref(), Some("acme"));
 }
 
+/// Guards against a response to COM_STMT_PREPARE behind the error that closes the session.
+#[test]
+fn a_closed_session_prepares_nothing() {
+    let mut session = ready_session();
+    let mut out = Vec::new();
+    session.read(&mut packet(b"\x16/* c=lookup */ SELECT 1 FROM a_1.b", 0), &mut out);
+    assert!(session.is_preparing());
+    session.disconnect(DisconnectReason::ShuttingDown, &mut out);
+    assert!(!session.is_preparing());
+}
+
 quickcheck! {
     /// Every command except COM_STMT_SEND_LONG_DATA and COM_STMT_CLOSE must be answered.
     fn random_commands_are_answered_without_a_panic(commands: Vec<(u8, Vec<u8>)>) -> bool {
